--- /dev/null
+++ b/src/main/java/postbeam/Decide.java
@@ -0,0 +1,741 @@
+package postbeam;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
+import postbeam.state.Customer;
+import postbeam.state.DataNode;
+import postbeam.state.Effect;
+import postbeam.state.Fleet;
+import postbeam.state.LeafCall;
+import postbeam.state.Outcome;
+import postbeam.state.Part;
+import postbeam.state.Query;
+import postbeam.state.Readiness;
+import postbeam.state.TimeRing;
+import postbeam.state.Vertical;
+
+/**
+ * All decisions of one query router. A door (see benchlink.Instance) builds one for each instance, calls one
+ * method for each thing that happens, in order, and {@link #turnEnded} once all that came in together has been
+ * told. Decide acts by calling {@link Host}; facts stand in postbeam.state. It holds no network code, reads no
+ * clock and looks at no names. Times are spans since the instance's start. The order of free slots is
+ * non-preemptive SEDPT-R (Sun et al.); docs/design.md tells what was kept and added, and why.
+ */
+public final class Decide {
+    // ---- constants: unit, and why this size
+
+    /** Parts: the window at the start, as the design page has it, and the least it falls to. */
+    private static final int WINDOW_START = 32;
+    private static final int WINDOW_LEAST = 4;
+    /** Share of parts in flight that may be spares, as the design page has it. */
+    private static final double SPARE_SHARE = 0.1;
+    /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
+    private static final double STUCK_SHARE = 0.5;
+    /** Shares of the SLO time between which a leaf call becomes overdue: room for a second try, not for none. */
+    private static final double OVERDUE_LEAST = 0.2;
+    private static final double OVERDUE_MOST = 0.5;
+    /** Times the usual time: past this a leaf call is no longer just unlucky. */
+    private static final double OVERDUE_TIMES = 4;
+    /** Times the middle node's slowness, from which a node is held to be slow. */
+    private static final double SLOW_TIMES = 3;
+    /** How long a slow or failing node is remembered without a new answer; a few queries' worth. */
+    private static final Duration HEALTH_MEMORY = Duration.ofSeconds(4);
+    /** Share of failures among a node's outcomes from which it is avoided, and the fewest that say so. */
+    private static final double FAILING_SHARE = 0.3;
+    private static final int FAILURES_LEAST = 2;
+    /** First and longest time for which a failing node is left alone; doubled by each strike. */
+    private static final Duration AVOID_FIRST = Duration.ofMillis(500);
+    private static final Duration AVOID_LONGEST = Duration.ofSeconds(4);
+    /** Weight of a new answer in a node's smoothed slowness: about the last four count. */
+    private static final double SMOOTHING = 0.25;
+    /** Weights with which a vertical's quiet time falls to a faster answer and creeps up to a slower one. */
+    private static final double QUIET_FALL = 0.2;
+    private static final double QUIET_RISE = 0.01;
+    /** Share of the SLO time taken for a part's quiet time before any answer has shown it. */
+    private static final double QUIET_GUESS = 0.1;
+    /** Calls that a suspect node counts for when an offset is chosen: more than a sound one has at most times. */
+    private static final int SUSPECT_CALLS = 4;
+    /** Seconds of work a second that a warm node surely does: one core's; sizes are not told. */
+    private static final double WARM_WORK = 1.0;
+    /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
+    private static final double COLD_SAFETY = 0.9;
+    /** Share of the limit on held queries and parts from which the router is crowded. */
+    private static final double CROWDED_SHARE = 0.5;
+    /** How long a customer's queries are counted against its share, and how many it may be ahead. */
+    private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
+    private static final double SHARE_AHEAD = 2;
+    /** Time between looks at open queries: fine beside SLO times, coarse beside a turn. */
+    private static final Duration LOOK = Duration.ofMillis(20);
+    /** Time before the client's limit at which the last word is given: two looks, and one to spare. */
+    private static final Duration LAST_WORD = LOOK.multipliedBy(3);
+    /** Time a client is told to wait after a rejection while the router is crowded. */
+    private static final Duration COME_BACK = Duration.ofMillis(300);
+    /** Weights of parts add up to 1 but for rounding. */
+    private static final double ROUNDING = 0.00005;
+    /** Buckets in which a span is kept: coarse enough to be cheap, fine enough to lose a fiftieth. */
+    private static final int BUCKETS = 50;
+
+    private final Host host;
+    private final Random chance;
+    private final Fleet fleet;
+    private final Held held;
+    private final Calls calls;
+    private final FurtherCalls further;
+    private final ColdPacing cold;
+    private final List<Query> open = new ArrayList<>();
+    private double window = WINDOW_START;
+    private int inFlight;
+    private boolean waking;
+
+    public Decide(Host host, Random chance, Fleet fleet, Held held, Calls calls, FurtherCalls further,
+            ColdPacing cold) {
+        this.host = host;
+        this.chance = chance;
+        this.fleet = fleet;
+        this.held = held;
+        this.calls = calls;
+        this.further = further;
+        this.cold = cold;
+    }
+
+    // ---- what can happen
+
+    public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt, double size) {
+        boolean fresh = node.workSent == null;
+        if (fresh) {
+            node.workSent = cold.ring();
+            node.answers = new TimeRing(HEALTH_MEMORY, BUCKETS);
+            node.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
+        }
+        if (readiness == Readiness.GONE) {
+            fleet.remove(node);
+        } else if (fresh || node.readiness == Readiness.GONE) {
+            fleet.add(node);
+        }
+        if (startedAt != null && !startedAt.equals(node.startedAt)) {
+            node.slowness = 0;
+            node.strikes = 0;
+            node.avoidUntil = null;
+        }
+        node.readiness = readiness;
+        node.leftAt = readiness == Readiness.READY ? null : now;
+        node.startedAt = startedAt;
+        node.size = size;
+    }
+
+    public void queryArrived(Duration now, Query q, boolean repeated) {
+        open.add(q);
+        further.took(now);
+        q.overShare = held.beyondShare(now, q.customer);
+    }
+
+    public void partArrived(Duration now, Part part) {
+        further.took(now);
+    }
+
+    public void leafCallEnded(Duration now, LeafCall call, Outcome outcome, Duration took, boolean partOver) {
+        call.end();
+        inFlight--;
+        Part part = call.part;
+        Query q = part.query;
+        if (!outcome.provesNotRun && (part.mayHaveRunSince == null
+                || part.mayHaveRunSince.compareTo(call.sentAt) > 0)) {
+            part.mayHaveRunSince = call.sentAt;
+        }
+        learn(now, call, outcome, took);
+        if (outcome == Outcome.FULL) {
+            window = Math.max(WINDOW_LEAST, window / 2);
+        }
+        if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
+            part.merged = true;
+            // Guards against a wide window while every node is slow: a late part narrows it as a timely one widens it.
+            boolean timely = took.compareTo(times(q.vertical.sloTime, STUCK_SHARE)) < 0;
+            window = Math.max(WINDOW_LEAST, window + (timely ? 1 : -1));
+            cancelAll(part);
+        } else if (outcome == Outcome.NEVER_SENT || partOver) {
+            part.closed = true;
+        }
+    }
+
+    public void clientLeft(Duration now, Query q) {
+        end(q);
+    }
+
+    public void woken(Duration now) {
+        waking = false;
+    }
+
+    /** No probe is sent: on the measured days none earned its price. */
+    public void probed(Duration now, DataNode node, boolean answered, Duration took) { }
+
+    /** All that came in together has been told. */
+    public void turnEnded(Duration now) {
+        for (Query q : new ArrayList<>(open)) {
+            settle(now, q);
+        }
+        for (Query q : open) {
+            makeRoom(now, q);
+        }
+        fill(now);
+        if (!open.isEmpty() && !waking) {
+            waking = true;
+            host.wakeAfter(LOOK);
+        }
+    }
+
+    // ---- when to answer, and when to give up
+
+    private void settle(Duration now, Query q) {
+        double in = q.mergedWeight();
+        double possible = 0;
+        for (Part part : q.parts) {
+            possible += part.merged || !part.out.isEmpty() || mayStillSend(now, part) ? part.weight : 0;
+        }
+        boolean waiting = q.step == 2 && q.parts.isEmpty();
+        Duration left = q.deadline.minus(now);
+        if (!waiting && in + ROUNDING >= needed(q)) {
+            answerWhole(q);
+        } else if (left.compareTo(LAST_WORD) <= 0) {
+            giveUp(now, q);
+        } else if (waiting || q.parts.isEmpty()) {
+            return;
+        } else if (possible + ROUNDING < needed(q) && (in + ROUNDING >= possible || possible < q.vertical.floor)) {
+            giveUp(now, q);
+        } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded())) {
+            giveUp(now, q);
+        } else if (q.overShare && untouched(q) && crowded()) {
+            giveUp(now, q);
+        }
+    }
+
+    /** Its SLO time is over, or what is still to be sent can't be in by then. */
+    private boolean tooLate(Duration now, Query q) {
+        Duration still = alpha(q) > parts(q, part -> !part.out.isEmpty()) ? quiet(q.vertical) : Duration.ZERO;
+        return now.plus(still).compareTo(q.sloAt()) >= 0;
+    }
+
+    private static boolean untouched(Query q) {
+        return q.step == 1 && parts(q, part -> !part.calls.isEmpty()) == 0;
+    }
+
+    private double needed(Query q) {
+        return q.step == 1 ? q.vertical.need : 1;
+    }
+
+    private void answerWhole(Query q) {
+        if (q.step == 1 && q.vertical.followUp > 0) {
+            for (Part part : q.parts) {
+                cancelAll(part);
+            }
+            q.firstStepParts.addAll(q.parts);
+            q.parts.clear();
+            q.step = 2;
+            q.firstStepWhole = true;
+        } else {
+            end(q);
+        }
+        host.answer(q, true);
+    }
+
+    /** The final answer at once: from what is in where the floor allows it, else rejected where harmless. */
+    private void giveUp(Duration now, Query q) {
+        double in = q.mergedWeight();
+        boolean lastStep = q.step == 2 || q.vertical.followUp == 0;
+        boolean harmless = q.vertical.effect == Effect.REPEATABLE;
+        if (!harmless) {
+            harmless = parts(q, part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0
+                    && q.firstStepParts.isEmpty();
+        }
+        end(q);
+        if (lastStep && in > 0 && in + ROUNDING >= q.vertical.floor) {
+            host.answer(q, false);
+        } else if (harmless) {
+            host.reject(q, held.comeBack(crowded()));
+        } else {
+            host.abort(q);
+        }
+    }
+
+    private void end(Query q) {
+        q.ended = true;
+        open.remove(q);
+        for (Part part : q.parts) {
+            cancelAll(part);
+        }
+    }
+
+    private void cancelAll(Part part) {
+        for (LeafCall call : part.out) {
+            cancel(call);
+        }
+    }
+
+    private void cancel(LeafCall call) {
+        if (calls.mayCancel && !call.cancelAsked) {
+            call.cancelAsked = true;
+            host.cancel(call);
+        }
+    }
+
+    private boolean crowded() {
+        int count = 0;
+        for (Query q : open) {
+            count += 1 + q.parts.size();
+        }
+        return held.crowded(count);
+    }
+
+    // ---- which query gets a free slot: SEDPT-R
+
+    /** Parts still needed. */
+    private int alpha(Query q) {
+        int unmerged = parts(q, part -> !part.merged);
+        double missing = needed(q) - q.mergedWeight();
+        double weight = 0;
+        for (Part part : q.parts) {
+            weight += part.merged ? 0 : part.weight;
+        }
+        return weight <= 0 ? unmerged : (int) Math.min(unmerged, Math.ceil(missing / (weight / unmerged) - 0.001));
+    }
+
+    /** Parts in flight that can be counted on: an overdue part counts no more. */
+    private int delta(Duration now, Query q) {
+        return parts(q, part -> counted(now, part));
+    }
+
+    private boolean counted(Duration now, Part part) {
+        for (LeafCall call : part.out) {
+            if (!call.cancelAsked && !overdue(now, call)) {
+                return !part.merged;
+            }
+        }
+        return false;
+    }
+
+    private void fill(Duration now) {
+        Set<Query> candidates = new HashSet<>(open);
+        while (inFlight < window && !candidates.isEmpty()) {
+            Query best = null;
+            int bestValue = 0;
+            for (Query q : open) {
+                if (candidates.contains(q)) {
+                    int value = alpha(q) - delta(now, q);
+                    if (best == null || value < bestValue
+                            || value == bestValue && q.sloAt().compareTo(best.sloAt()) < 0) {
+                        best = q;
+                        bestValue = value;
+                    }
+                }
+            }
+            if (!sendNext(now, best, bestValue)) {
+                candidates.remove(best);
+            }
+        }
+    }
+
+    /** Sends the query's next part; false where it has none to send now. */
+    private boolean sendNext(Duration now, Query q, int value) {
+        boolean anyN = q.vertical.anyN() && q.step == 1;
+        int out = parts(q, part -> !part.merged && !part.out.isEmpty());
+        if (value <= 0 && (!anyN || spares() + 1 > SPARE_SHARE * (inFlight + 1))
+                || anyN && out > alpha(q)) {
+            return false;
+        }
+        if (q.offset < 0) {
+            q.offset = chooseOffset(now, q);
+        }
+        Part bestPart = null;
+        DataNode bestNode = null;
+        int bestRank = Integer.MAX_VALUE;
+        for (Part part : q.parts) {
+            if (part.merged || counted(now, part) || !maySendNow(now, part)) {
+                continue;
+            }
+            DataNode node = chooseNode(now, part);
+            if (node == null) {
+                continue;
+            }
+            int rank = part.out.isEmpty() ? 0 : 1000;
+            if (anyN) {
+                rank += (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0) + node.callsOut();
+            }
+            if (rank < bestRank) {
+                bestPart = part;
+                bestNode = node;
+                bestRank = rank;
+            }
+        }
+        if (bestPart == null) {
+            return false;
+        }
+        send(now, bestPart, bestNode);
+        return true;
+    }
+
+    /** Spares in flight: parts out beyond what their queries still need. */
+    private int spares() {
+        int spares = 0;
+        for (Query q : open) {
+            spares += Math.max(0, parts(q, part -> !part.merged && !part.out.isEmpty()) - alpha(q));
+        }
+        return spares;
+    }
+
+    /** An any-n query with all its places out and one of them overdue: calls that one off for a fresh part. */
+    private void makeRoom(Duration now, Query q) {
+        if (!q.vertical.anyN() || q.step == 2 || alpha(q) - delta(now, q) <= 0
+                || parts(q, part -> !part.merged && !part.out.isEmpty()) <= alpha(q)
+                || parts(q, part -> part.calls.isEmpty()) == 0) {
+            return;
+        }
+        for (Part part : q.parts) {
+            if (!part.merged && !part.out.isEmpty() && !counted(now, part)) {
+                cancelAll(part);
+                return;
+            }
+        }
+    }
+
+    private void send(Duration now, Part part, DataNode node) {
+        if (!part.calls.isEmpty()) {
+            further.sent(now);
+        }
+        node.workSent.add(now, seconds(cold.work(part, quiet(part.query.vertical))));
+        LeafCall call = new LeafCall(part, node, now, timeout(now, part));
+        inFlight++;
+        host.send(call);
+    }
+
+    /**
+     * Where a second copy is barred, a part that may be repeated is timed out as overdue, to be sent elsewhere;
+     * otherwise a leaf call runs as long as its answer is of use.
+     */
+    private Duration timeout(Duration now, Part part) {
+        Query q = part.query;
+        Vertical v = q.vertical;
+        Duration useful = (v.lateUtility > 0 ? q.deadline : q.sloAt()).minus(now);
+        if (v.effect == Effect.SIDE_EFFECTING) {
+            return null;
+        }
+        if (!calls.mayDuplicate && part.calls.size() + 1 < calls.most) {
+            Duration early = overdueAfter(now, v);
+            return early.compareTo(useful) < 0 ? early : useful;
+        }
+        return useful.compareTo(LOOK) < 0 ? LOOK : useful;
+    }
+
+    // ---- which replica
+
+    /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
+    private int chooseOffset(Duration now, Query q) {
+        int most = 1;
+        for (Part part : q.parts) {
+            most = Math.max(most, fleet.replicas(part.shard).size());
+        }
+        int first = chance.nextInt(most);
+        int best = first;
+        double least = Double.MAX_VALUE;
+        for (int i = 0; i < most; i++) {
+            int offset = (first + i) % most;
+            Set<DataNode> nodes = new HashSet<>();
+            double cost = 0;
+            for (Part part : q.parts) {
+                List<DataNode> replicas = fleet.replicas(part.shard);
+                if (!replicas.isEmpty()) {
+                    DataNode node = replicas.get(offset % replicas.size());
+                    cost += node.sameZone ? 0 : 0.01;
+                    if (nodes.add(node)) {
+                        cost += node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0);
+                    }
+                }
+            }
+            if (cost < least) {
+                least = cost;
+                best = offset;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * The node at the query's offset, or at the next one that is better placed. Never shuts out all replicas on
+     * suspicion: the least bad is taken. Null where none may take the part now.
+     */
+    private DataNode chooseNode(Duration now, Part part) {
+        List<DataNode> replicas = fleet.replicas(part.shard);
+        DataNode best = null;
+        int bestRank = Integer.MAX_VALUE;
+        for (int i = 0; i < replicas.size(); i++) {
+            DataNode node = replicas.get((part.query.offset + i) % replicas.size());
+            Duration work = cold.work(part, quiet(part.query.vertical));
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, work)) {
+                continue;
+            }
+            int rank = suspect(now, node, part.query.vertical) ? 2 : 0;
+            boolean here = false;
+            for (LeafCall call : part.calls) {
+                rank += call.node == node ? 1 : 0;
+                here |= call.node == node && !call.ended;
+            }
+            if (here || !part.out.isEmpty() && rank > 0) {
+                continue;
+            }
+            if (rank < bestRank) {
+                best = node;
+                bestRank = rank;
+            }
+        }
+        return best;
+    }
+
+    // ---- health of nodes, from our own leaf calls alone
+
+    /**
+     * Guards against a node that is silent, slow, failing or unreachable, whatever the cause: our own calls show
+     * it. It also catches a node the list names ready that is dead, and a zone cut off. It could hurt when all
+     * nodes are slow alike, so slowness is measured against the middle node.
+     */
+    private boolean suspect(Duration now, DataNode node, Vertical v) {
+        if (node.avoidUntil != null && (now.compareTo(node.avoidUntil) < 0
+                || node.strikes > 0 && !node.out.isEmpty())) {
+            return true;
+        }
+        LeafCall oldest = node.oldestOut();
+        if (oldest != null && now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0) {
+            return true;
+        }
+        if (oldest != null && overdue(now, oldest)
+                && (node.lastAnswerAt == null || node.lastAnswerAt.compareTo(oldest.sentAt) < 0)) {
+            return true;
+        }
+        return node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
+                && now.minus(node.lastAnswerAt).compareTo(HEALTH_MEMORY) < 0;
+    }
+
+    private void learn(Duration now, LeafCall call, Outcome outcome, Duration took) {
+        DataNode node = call.node;
+        Vertical v = call.part.query.vertical;
+        if (outcome == Outcome.MERGED) {
+            Duration known = v.quietTime == null ? took : v.quietTime;
+            v.quietTime = known.plus(times(took.minus(known), took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE));
+            node.lastAnswerAt = now;
+            node.answers.add(now, 1);
+            node.strikes = Math.max(0, node.strikes - 1);
+        }
+        double slow = seconds(took) / Math.max(0.001, seconds(quiet(v)));
+        boolean shows = outcome == Outcome.MERGED
+                || (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED) && slow > node.slowness;
+        if (shows) {
+            node.slowness = node.slowness == 0 ? slow : node.slowness + SMOOTHING * (slow - node.slowness);
+        }
+        boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET;
+        if (broken || outcome == Outcome.ERROR) {
+            node.failures.add(now, 1);
+            double failed = node.failures.atLeast(now, HEALTH_MEMORY);
+            double all = failed + node.answers.atLeast(now, HEALTH_MEMORY);
+            boolean rested = node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0;
+            if (rested && (broken || failed >= FAILURES_LEAST && failed >= FAILING_SHARE * all)) {
+                Duration rest = AVOID_FIRST.multipliedBy(1L << Math.min(node.strikes, 10));
+                node.avoidUntil = now.plus(rest.compareTo(AVOID_LONGEST) < 0 ? rest : AVOID_LONGEST);
+                node.strikes++;
+            }
+        }
+    }
+
+    /** Slowness of the middle node among those that answered lately. */
+    private double usualSlowness(Duration now) {
+        double[] slow = fleet.nodes().stream()
+                .filter(n -> n.slowness > 0 && n.lastAnswerAt != null
+                        && now.minus(n.lastAnswerAt).compareTo(HEALTH_MEMORY) < 0)
+                .mapToDouble(n -> n.slowness).toArray();
+        Arrays.sort(slow);
+        return slow.length == 0 ? 1 : Math.max(1, slow[slow.length / 2]);
+    }
+
+    private Duration overdueAfter(Duration now, Vertical v) {
+        Duration usual = times(quiet(v), OVERDUE_TIMES * usualSlowness(now));
+        Duration least = times(v.sloTime, OVERDUE_LEAST);
+        Duration most = times(v.sloTime, OVERDUE_MOST);
+        return usual.compareTo(least) < 0 ? least : usual.compareTo(most) > 0 ? most : usual;
+    }
+
+    private boolean overdue(Duration now, LeafCall call) {
+        return now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
+    }
+
+    private static Duration quiet(Vertical v) {
+        return v.quietTime == null ? times(v.sloTime, QUIET_GUESS) : v.quietTime;
+    }
+
+    // ---- which further leaf calls are allowed
+
+    /** Whether the part may get a leaf call now or later, as far as its past tells. */
+    private boolean mayStillSend(Duration now, Part part) {
+        if (part.closed || part.calls.size() >= calls.most) {
+            return false;
+        }
+        Vertical v = part.query.vertical;
+        return switch (v.effect) {
+            case REPEATABLE -> true;
+            case DEDUPLICATED -> part.mayHaveRunSince == null || v.repeatWindow != null
+                    && now.minus(part.mayHaveRunSince).plus(LOOK).compareTo(v.repeatWindow) < 0;
+            case SIDE_EFFECTING -> part.mayHaveRunSince == null;
+        };
+    }
+
+    private boolean maySendNow(Duration now, Part part) {
+        boolean alone = part.out.isEmpty()
+                || part.query.vertical.effect == Effect.REPEATABLE && calls.mayDuplicate && part.out.size() < 2;
+        return alone && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
+    }
+
+    private static int parts(Query q, Predicate<Part> which) {
+        int count = 0;
+        for (Part part : q.parts) {
+            count += which.test(part) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private static Duration times(Duration span, double factor) {
+        return Duration.ofNanos(Math.round(span.toNanos() * factor));
+    }
+
+    private static double seconds(Duration span) {
+        return span.toNanos() / 1e9;
+    }
+
+    /** What may be done with leaf calls; what is not stated is not permitted. */
+    public static final class Calls {
+        private final int most;
+        private final boolean mayDuplicate;
+        private final boolean mayCancel;
+
+        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel) {
+            this.most = most == null ? 1 : most;
+            this.mayDuplicate = mayDuplicate != null && mayDuplicate;
+            this.mayCancel = mayCancel != null && mayCancel;
+        }
+    }
+
+    /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
+    public static final class FurtherCalls {
+        private final Double free;
+        private final Double share;
+        private final Duration span;
+        private final TimeRing taken;
+        private final TimeRing sent;
+
+        public FurtherCalls(Double free, Double share, Duration span) {
+            this.free = free;
+            this.share = share;
+            this.span = span;
+            this.taken = span == null ? null : new TimeRing(span, BUCKETS);
+            this.sent = span == null ? null : new TimeRing(span, BUCKETS);
+        }
+
+        void took(Duration now) {
+            if (span != null) {
+                taken.add(now, 1);
+            }
+        }
+
+        void sent(Duration now) {
+            if (span != null) {
+                sent.add(now, 1);
+            }
+        }
+
+        boolean allowed(Duration now) {
+            return span == null || sent.atLeast(now, span) + 1
+                    <= (free == null ? 0 : free) + (share == null ? 0 : share) * taken.atMost(now, span);
+        }
+    }
+
+    /** This router's own share of what a cold node may be sent in any window of the rule. */
+    public static final class ColdPacing {
+        private final Double from;
+        private final Duration ramp;
+        private final Double multiple;
+        private final Duration span;
+        private final int routers;
+        private final Duration callCost;
+
+        public ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
+                Duration callCost) {
+            this.from = from;
+            this.ramp = ramp;
+            this.multiple = multiple;
+            this.span = span;
+            this.routers = routers == null ? 1 : Math.max(1, routers);
+            this.callCost = callCost == null ? Duration.ZERO : callCost;
+        }
+
+        TimeRing ring() {
+            return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+        }
+
+        Duration work(Part part, Duration quiet) {
+            return part.work == null ? quiet : part.work.plus(callCost);
+        }
+
+        /** Capacity is taken as it was when the window began, so every window is within its budget. */
+        boolean allows(Duration now, DataNode node, Duration work) {
+            if (span == null || ramp == null || multiple == null || node.startedAt == null) {
+                return true;
+            }
+            Duration age = now.minus(node.startedAt);
+            if (age.compareTo(ramp.plus(span)) >= 0) {
+                return true;
+            }
+            double risen = Math.max(0, seconds(age.minus(span)) / seconds(ramp));
+            double capacity = ((from == null ? 0 : from) * (1 - risen) + risen) * WARM_WORK;
+            double budget = COLD_SAFETY * multiple * capacity * seconds(span) / routers;
+            return node.workSent.atLeast(now, span) + seconds(work) <= budget;
+        }
+    }
+
+    /** How many queries and parts are held, and what each customer may ask for. */
+    public static final class Held {
+        private final Integer most;
+        private final int routers;
+        private final Double overShareUtility;
+        private final Duration longestComeBack;
+
+        public Held(Integer most, Integer routers, Double overShareUtility, Duration longestComeBack) {
+            this.most = most;
+            this.routers = routers == null ? 1 : Math.max(1, routers);
+            this.overShareUtility = overShareUtility;
+            this.longestComeBack = longestComeBack;
+        }
+
+        boolean crowded(int count) {
+            return most != null && count > CROWDED_SHARE * most;
+        }
+
+        boolean beyondShare(Duration now, Customer customer) {
+            if (customer == null || customer.quotaPerSecond == null) {
+                return false;
+            }
+            if (customer.taken == null) {
+                customer.taken = new TimeRing(SHARE_SPAN, BUCKETS);
+            }
+            customer.taken.add(now, 1);
+            return overShareUtility != null && overShareUtility < 1 && customer.taken.atMost(now, SHARE_SPAN)
+                    > customer.quotaPerSecond / routers * seconds(SHARE_SPAN) + SHARE_AHEAD;
+        }
+
+        Duration comeBack(boolean crowded) {
+            if (!crowded || longestComeBack == null) {
+                return Duration.ZERO;
+            }
+            return COME_BACK.compareTo(longestComeBack) < 0 ? COME_BACK : longestComeBack;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -0,0 +1,55 @@
+package postbeam.state;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A data node as this router knows it. */
+public final class DataNode {
+    public final int cell;
+    public final boolean sameZone;
+    /** Size beside other nodes'; 1 where not stated. */
+    public double size = 1;
+    public Readiness readiness = Readiness.READY;
+    /** When the list said that it drains or is gone; null while it is ready. */
+    public Duration leftAt;
+    /** When it last started; null: not known, or long ago. */
+    public Duration startedAt;
+    /** The leaf calls without an outcome yet, oldest first. */
+    public final Set<LeafCall> out = new LinkedHashSet<>();
+
+    /** What it was lately sent, in seconds of work; set up by the one who measures. */
+    public TimeRing workSent;
+    /** Its answers and failures lately; set up by the one who measures. */
+    public TimeRing answers;
+    public TimeRing failures;
+    /** Smoothed time of its answers beside the quiet time of their vertical; 0 before the first. */
+    public double slowness;
+    public Duration lastAnswerAt;
+    /** Not chosen before this time while another will do; null: no reason. */
+    public Duration avoidUntil;
+    /** Failures in a row that led to avoiding it. */
+    public int strikes;
+
+    public DataNode(int cell, boolean sameZone) {
+        this.cell = cell;
+        this.sameZone = sameZone;
+    }
+
+    /** Calls out, where parts sent in one turn count as one. */
+    public int callsOut() {
+        int calls = 0;
+        Duration last = null;
+        for (LeafCall call : out) {
+            if (!call.sentAt.equals(last)) {
+                calls++;
+                last = call.sentAt;
+            }
+        }
+        return calls;
+    }
+
+    public LeafCall oldestOut() {
+        return out.isEmpty() ? null : out.iterator().next();
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/state/Part.java
@@ -0,0 +1,30 @@
+package postbeam.state;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The part of a query that one shard answers. */
+public final class Part {
+    public final Query query;
+    public final int shard;
+    public final double weight;
+    /** Expected work; null where no hint came. */
+    public final Duration work;
+    public final List<LeafCall> calls = new ArrayList<>();
+    /** The leaf calls without an outcome yet, oldest first. */
+    public final List<LeafCall> out = new ArrayList<>();
+    public boolean merged;
+    /** No further leaf call is taken for it. */
+    public boolean closed;
+    /** When the first leaf call that may have run was sent; null while none may. */
+    public Duration mayHaveRunSince;
+
+    public Part(Query query, int shard, double weight, Duration work) {
+        this.query = query;
+        this.shard = shard;
+        this.weight = weight;
+        this.work = work;
+        query.parts.add(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -0,0 +1,41 @@
+package postbeam.state;
+
+import java.time.Duration;
+
+/** A kind of query: what its clients were promised, and what has been seen of its parts. */
+public final class Vertical {
+    public final Duration sloTime;
+    public final Effect effect;
+    /** How long a repeat of a deduplicated part is dropped; null where not stated. */
+    public final Duration repeatWindow;
+    public final double utility;
+    /** Share of the utility that an answer after the SLO time still earns. */
+    public final double lateUtility;
+    /** Share of the weight that makes a whole answer, and the least share for any answer. */
+    public final double need;
+    public final double floor;
+    /** What a partial answer earns, times share / need. */
+    public final double shortUtility;
+    /** Parts of the second step; 0 where there is none. */
+    public final int followUp;
+
+    /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
+    public Duration quietTime;
+
+    public Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
+            double need, double floor, double shortUtility, int followUp) {
+        this.sloTime = sloTime;
+        this.effect = effect;
+        this.repeatWindow = repeatWindow;
+        this.utility = utility;
+        this.lateUtility = lateUtility;
+        this.need = need;
+        this.floor = floor;
+        this.shortUtility = shortUtility;
+        this.followUp = followUp;
+    }
+
+    public boolean anyN() {
+        return need < 1;
+    }
+}
--- /dev/null
+++ b/src/test/java/postbeam/TimeRingTest.java
@@ -0,0 +1,22 @@
+package postbeam;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import postbeam.state.TimeRing;
+
+class TimeRingTest {
+    @Test
+    void forgetsWhatIsOlderThanTheSpanAndErrsToTheSideAsked() {
+        TimeRing ring = new TimeRing(Duration.ofSeconds(1), 10);
+        ring.add(Duration.ofMillis(150), 1);
+        ring.add(Duration.ofMillis(900), 2);
+        assertEquals(3, ring.atLeast(Duration.ofMillis(1120), Duration.ofSeconds(1)));
+        assertEquals(2, ring.atMost(Duration.ofMillis(1120), Duration.ofSeconds(1)));
+        assertEquals(0, ring.atLeast(Duration.ofMillis(9120), Duration.ofSeconds(1)));
+        ring.add(Duration.ofMillis(9120), 5);
+        assertTrue(ring.atLeast(Duration.ofMillis(9120), Duration.ofSeconds(1)) == 5);
+    }
+}
