--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -41,7 +41,7 @@
     private static final double OVERDUE_LEAST = 0.2;
     private static final double OVERDUE_MOST = 0.5;
     /** Times the usual time: past this a leaf call is no longer just unlucky. */
-    private static final double OVERDUE_TIMES = 4;
+    private static final double OVERDUE_TIMES = 3;
     /** Times the middle node's slowness, from which a node is held to be slow. */
     private static final double SLOW_TIMES = 3;
     /** How long a slow or failing node is remembered without a new answer; a few queries' worth. */
@@ -122,6 +122,7 @@
             node.slowness = 0;
             node.strikes = 0;
             node.avoidUntil = null;
+            node.probing = false;
         }
         node.readiness = readiness;
         node.leftAt = readiness == Readiness.READY ? null : now;
@@ -171,14 +172,21 @@
         waking = false;
     }
 
-    /** No probe is sent: on the measured days none earned its price. */
-    public void probed(Duration now, DataNode node, boolean answered, Duration took) { }
+    public void probed(Duration now, DataNode node, boolean answered, Duration took) {
+        node.probing = false;
+        if (answered) {
+            node.avoidUntil = null;
+        } else {
+            strike(now, node);
+        }
+    }
 
     /** All that came in together has been told. */
     public void turnEnded(Duration now) {
         for (Query q : new ArrayList<>(open)) {
             settle(now, q);
         }
+        lookAfter(now);
         for (Query q : open) {
             makeRoom(now, q);
         }
@@ -502,16 +510,14 @@
      * nodes are slow alike, so slowness is measured against the middle node.
      */
     private boolean suspect(Duration now, DataNode node, Vertical v) {
-        if (node.avoidUntil != null && (now.compareTo(node.avoidUntil) < 0
-                || node.strikes > 0 && !node.out.isEmpty())) {
+        if (node.avoidUntil != null || node.strikes > 0 && !node.out.isEmpty()) {
             return true;
         }
         LeafCall oldest = node.oldestOut();
         if (oldest != null && now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0) {
             return true;
         }
-        if (oldest != null && overdue(now, oldest)
-                && (node.lastAnswerAt == null || node.lastAnswerAt.compareTo(oldest.sentAt) < 0)) {
+        if (oldest != null && overdue(now, oldest) && !answeredSince(node, oldest.sentAt)) {
             return true;
         }
         return node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
@@ -534,16 +540,47 @@
         if (shows) {
             node.slowness = node.slowness == 0 ? slow : node.slowness + SMOOTHING * (slow - node.slowness);
         }
-        boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET;
+        // Guards against links that swallow calls and nodes that take work and answer none: once the call is over
+        // nothing else would tell of it. It could hurt where a sound node is merely late to its only call of ours.
+        boolean silent = (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED)
+                && took.compareTo(overdueAfter(now, v)) > 0 && !answeredSince(node, call.sentAt);
+        boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET || silent;
         if (broken || outcome == Outcome.ERROR) {
             node.failures.add(now, 1);
             double failed = node.failures.atLeast(now, HEALTH_MEMORY);
             double all = failed + node.answers.atLeast(now, HEALTH_MEMORY);
-            boolean rested = node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0;
-            if (rested && (broken || failed >= FAILURES_LEAST && failed >= FAILING_SHARE * all)) {
-                Duration rest = AVOID_FIRST.multipliedBy(1L << Math.min(node.strikes, 10));
-                node.avoidUntil = now.plus(rest.compareTo(AVOID_LONGEST) < 0 ? rest : AVOID_LONGEST);
-                node.strikes++;
+            if (broken || failed >= FAILURES_LEAST && failed >= FAILING_SHARE * all) {
+                strike(now, node);
+            }
+        }
+    }
+
+    /** Leaves a node alone for a while, longer each time; what happens while it is left alone adds nothing. */
+    private static void strike(Duration now, DataNode node) {
+        if (node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0) {
+            Duration rest = AVOID_FIRST.multipliedBy(1L << Math.min(node.strikes, 10));
+            node.avoidUntil = now.plus(rest.compareTo(AVOID_LONGEST) < 0 ? rest : AVOID_LONGEST);
+            node.strikes++;
+        }
+    }
+
+    private static boolean answeredSince(DataNode node, Duration since) {
+        return node.lastAnswerAt != null && node.lastAnswerAt.compareTo(since) >= 0;
+    }
+
+    /**
+     * The way back of a node left alone: a probe first, which costs next to nothing beside a part lost, then one
+     * part at a time until one is merged. A probe may be answered by a node that serves nothing; the part shows it.
+     */
+    private void lookAfter(Duration now) {
+        for (DataNode node : fleet.nodes()) {
+            if (node.avoidUntil != null && now.compareTo(node.avoidUntil) >= 0 && !node.probing) {
+                if (calls.mayProbe && node.readiness == Readiness.READY) {
+                    node.probing = true;
+                    host.probe(node);
+                } else {
+                    node.avoidUntil = null;
+                }
             }
         }
     }
@@ -565,8 +602,9 @@
         return usual.compareTo(least) < 0 ? least : usual.compareTo(most) > 0 ? most : usual;
     }
 
+    /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
     private boolean overdue(Duration now, LeafCall call) {
-        return now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
+        return call.node.avoidUntil != null || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
     }
 
     private static Duration quiet(Vertical v) {
@@ -616,11 +654,13 @@
         private final int most;
         private final boolean mayDuplicate;
         private final boolean mayCancel;
+        private final boolean mayProbe;
 
-        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel) {
+        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe) {
             this.most = most == null ? 1 : most;
             this.mayDuplicate = mayDuplicate != null && mayDuplicate;
             this.mayCancel = mayCancel != null && mayCancel;
+            this.mayProbe = mayProbe != null && mayProbe;
         }
     }
 
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -65,7 +65,7 @@
                 new Decide.Held(info.whole("caps.mostHeld"), routers, info.number("overShareWorth"),
                         info.span("caps.maxRetryAfter")),
                 new Decide.Calls(info.whole("caps.maxAttempts"), info.flag("caps.mayDuplicate"),
-                        info.flag("caps.cancelling")),
+                        info.flag("caps.cancelling"), info.flag("caps.probes")),
                 new Decide.FurtherCalls(info.number("obligations.spareAttempts"),
                         info.number("obligations.budgetShare"), info.span("obligations.extraWindow")),
                 new Decide.ColdPacing(info.number("obligations.coldFrom"), info.span("obligations.rampTime"),
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -26,7 +26,9 @@
     /** Smoothed time of its answers beside the quiet time of their vertical; 0 before the first. */
     public double slowness;
     public Duration lastAnswerAt;
-    /** Not chosen before this time while another will do; null: no reason. */
+    /** A probe is out. */
+    public boolean probing;
+    /** Left alone at least until this time while another will do; null: no reason. */
     public Duration avoidUntil;
     /** Failures in a row that led to avoiding it. */
     public int strikes;
