Share of a customer: twice a router's even share before it counts as beyond

Clients are spread unevenly over routers, so sound queries were rejected untouched. Could hurt where one customer's burst stays under twice its share.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -66,10 +66,14 @@
     /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
     private static final double COLD_SAFETY = 0.9;
     /** Share of the limit on held queries and parts from which the router is crowded. */
-    private static final double CROWDED_SHARE = 0.5;
-    /** How long a customer's queries are counted against its share, and how many it may be ahead. */
+    private static final double CROWDED_SHARE = 0.7;
+    /**
+     * How long a customer's queries are counted against its share, how many it may be ahead, and how many times a
+     * router's even share it may bring here: clients are not spread evenly over routers.
+     */
     private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
     private static final double SHARE_AHEAD = 2;
+    private static final double SHARE_TIMES = 2;
     /** Time between looks at open queries: fine beside SLO times, coarse beside a turn. */
     private static final Duration LOOK = Duration.ofMillis(20);
     /** Time before the client's limit at which the last word is given: two looks, and one to spare. */
@@ -768,7 +772,7 @@
             }
             customer.taken.add(now, 1);
             return overShareUtility != null && overShareUtility < 1 && customer.taken.atMost(now, SHARE_SPAN)
-                    > customer.quotaPerSecond / routers * seconds(SHARE_SPAN) + SHARE_AHEAD;
+                    > customer.quotaPerSecond * SHARE_TIMES / routers * seconds(SHARE_SPAN) + SHARE_AHEAD;
         }
 
         Duration comeBack(boolean crowded) {
