--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -38,10 +38,10 @@
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
     private static final double STUCK_SHARE = 0.5;
     /** Shares of the SLO time between which a leaf call becomes overdue: room for a second try, not for none. */
-    private static final double OVERDUE_LEAST = 0.2;
-    private static final double OVERDUE_MOST = 0.5;
+    private static final double OVERDUE_LEAST = 0.15;
+    private static final double OVERDUE_MOST = 0.35;
     /** Times the usual time: past this a leaf call is no longer just unlucky. */
-    private static final double OVERDUE_TIMES = 3;
+    private static final double OVERDUE_TIMES = 2.5;
     /** Times the middle node's slowness, from which a node is held to be slow. */
     private static final double SLOW_TIMES = 3;
     /** How long a slow or failing node is remembered without a new answer; a few queries' worth. */
