--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -33,6 +33,12 @@
     /** Parts: the window at the start, as the design page has it, and the least it falls to. */
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
+    /** Share of the SLO time from which a part is late, and parts by which that narrows the window: a fifth evens out. */
+    private static final double LATE_SHARE = 0.35;
+    private static final int LATE_STEP = 4;
+    /** Shares of the SLO time within which a query is begun or rejected: within and beyond its customer's share. */
+    private static final double START_SHARE = 0.4;
+    private static final double START_SHARE_BEYOND = 0.1;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
@@ -159,9 +165,10 @@
         }
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
-            // Guards against a wide window while every node is slow: a late part narrows it as a timely one widens it.
-            boolean timely = took.compareTo(times(q.vertical.sloTime, STUCK_SHARE)) < 0;
-            window = Math.max(WINDOW_LEAST, window + (timely ? 1 : -1));
+            // Guards against a wide window while every node is slow, which no rejection tells: late parts narrow it,
+            // and it grows only while it is in use. It could hurt where one slow node makes a fifth of parts late.
+            boolean late = took.compareTo(times(q.vertical.sloTime, LATE_SHARE)) > 0;
+            window = Math.max(WINDOW_LEAST, late ? window - LATE_STEP : inFlight + 1 >= window ? window + 1 : window);
             cancelAll(part);
         } else if (outcome == Outcome.NEVER_SENT || partOver) {
             part.closed = true;
@@ -221,7 +228,9 @@
             giveUp(now, q);
         } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded())) {
             giveUp(now, q);
-        } else if (q.overShare && untouched(q) && crowded()) {
+        } else if (untouched(q) && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
+                q.overShare ? START_SHARE_BEYOND : START_SHARE)) > 0) {
+            // Guards against overload of any cause: what can't begin soon is told so while the client can still act.
             giveUp(now, q);
         }
     }
