--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -73,13 +73,9 @@
     private static final double COLD_SAFETY = 0.9;
     /** Share of the limit on held queries and parts from which the router is crowded. */
     private static final double CROWDED_SHARE = 0.7;
-    /**
-     * How long a customer's queries are counted against its share, how many it may be ahead, and how many times a
-     * router's even share it may bring here: clients are not spread evenly over routers.
-     */
+    /** How long a customer's queries are counted against its share, and how many it may be ahead. */
     private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
     private static final double SHARE_AHEAD = 2;
-    private static final double SHARE_TIMES = 2;
     /** Time between looks at open queries: fine beside SLO times, coarse beside a turn. */
     private static final Duration LOOK = Duration.ofMillis(20);
     /** Time before the client's limit at which the last word is given: two looks, and one to spare. */
@@ -760,6 +756,8 @@
         private final int routers;
         private final Double overShareUtility;
         private final Duration longestComeBack;
+        private final TimeRing allTaken = new TimeRing(SHARE_SPAN, BUCKETS);
+        private double allQuotas;
 
         public Held(Integer most, Integer routers, Double overShareUtility, Duration longestComeBack) {
             this.most = most;
@@ -772,16 +770,25 @@
             return most != null && count > CROWDED_SHARE * most;
         }
 
+        /**
+         * Beyond its even share at this router, and further than the router's customers are on the whole: clients
+         * are not spread evenly over routers, so one that gets more than the others sees all customers beyond.
+         */
         boolean beyondShare(Duration now, Customer customer) {
-            if (customer == null || customer.quotaPerSecond == null) {
+            if (customer == null || customer.quotaPerSecond == null || overShareUtility == null
+                    || overShareUtility >= 1) {
                 return false;
             }
             if (customer.taken == null) {
                 customer.taken = new TimeRing(SHARE_SPAN, BUCKETS);
+                allQuotas += customer.quotaPerSecond;
             }
             customer.taken.add(now, 1);
-            return overShareUtility != null && overShareUtility < 1 && customer.taken.atMost(now, SHARE_SPAN)
-                    > customer.quotaPerSecond * SHARE_TIMES / routers * seconds(SHARE_SPAN) + SHARE_AHEAD;
+            allTaken.add(now, 1);
+            double mine = customer.taken.atMost(now, SHARE_SPAN);
+            double even = customer.quotaPerSecond / routers * seconds(SHARE_SPAN);
+            return mine > even + SHARE_AHEAD
+                    && mine * allQuotas >= allTaken.atMost(now, SHARE_SPAN) * customer.quotaPerSecond;
         }
 
         Duration comeBack(boolean crowded) {
