--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -196,6 +196,7 @@
         lookAfter(now);
         for (Query q : open) {
             makeRoom(now, q);
+            callBack(now, q);
         }
         fill(now);
         if (!open.isEmpty() && !waking) {
@@ -424,27 +425,43 @@
             further.sent(now);
         }
         node.workSent.add(now, seconds(cold.work(part, quiet(part.query.vertical))));
-        LeafCall call = new LeafCall(part, node, now, timeout(now, part));
+        LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
         inFlight++;
         host.send(call);
     }
 
+    /** A leaf call runs as long as its answer is of use; a side-effecting one as long as its client waits. */
+    private static Duration timeout(Duration now, Query q) {
+        if (q.vertical.effect == Effect.SIDE_EFFECTING) {
+            return null;
+        }
+        Duration useful = (q.vertical.lateUtility > 0 ? q.deadline : q.sloAt()).minus(now);
+        return useful.compareTo(LOOK) < 0 ? LOOK : useful;
+    }
+
     /**
-     * Where a second copy is barred, a part that may be repeated is timed out as overdue, to be sent elsewhere;
-     * otherwise a leaf call runs as long as its answer is of use.
+     * Where a second copy is barred, calls off a leaf call whose node is silent, so that the part can go elsewhere.
+     * Time-outs would do the same to calls that merely wait their turn, and throw away the wait: when all nodes
+     * are slow that feeds the overload.
      */
-    private Duration timeout(Duration now, Part part) {
-        Query q = part.query;
-        Vertical v = q.vertical;
-        Duration useful = (v.lateUtility > 0 ? q.deadline : q.sloAt()).minus(now);
-        if (v.effect == Effect.SIDE_EFFECTING) {
-            return null;
+    private void callBack(Duration now, Query q) {
+        if (calls.mayDuplicate) {
+            return;
         }
-        if (!calls.mayDuplicate && part.calls.size() + 1 < calls.most) {
-            Duration early = overdueAfter(now, v);
-            return early.compareTo(useful) < 0 ? early : useful;
+        for (Part part : q.parts) {
+            if (!part.out.isEmpty() && !part.merged && mayStillSend(now, part) && further.allowed(now)) {
+                LeafCall call = part.out.get(0);
+                boolean lost = call.node.avoidUntil != null
+                        || overdue(now, call) && !answeredSince(call.node, call.sentAt);
+                boolean repeatable = q.vertical.effect == Effect.REPEATABLE
+                        || q.vertical.effect == Effect.DEDUPLICATED && q.vertical.repeatWindow != null
+                        && now.minus(call.sentAt).plus(LAST_WORD).compareTo(q.vertical.repeatWindow) < 0;
+                DataNode other = chooseNode(now, part);
+                if (lost && repeatable && other != null && !suspect(now, other, q.vertical)) {
+                    cancel(call);
+                }
+            }
         }
-        return useful.compareTo(LOOK) < 0 ? LOOK : useful;
     }
 
     // ---- which replica
