--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -329,7 +329,7 @@
 
     private boolean counted(Duration now, Part part) {
         for (LeafCall call : part.out) {
-            if (!call.cancelAsked && !overdue(now, call)) {
+            if (!call.cancelAsked && !lost(now, call)) {
                 return !part.merged;
             }
         }
@@ -451,13 +451,11 @@
         for (Part part : q.parts) {
             if (!part.out.isEmpty() && !part.merged && mayStillSend(now, part) && further.allowed(now)) {
                 LeafCall call = part.out.get(0);
-                boolean lost = call.node.avoidUntil != null
-                        || overdue(now, call) && !answeredSince(call.node, call.sentAt);
                 boolean repeatable = q.vertical.effect == Effect.REPEATABLE
                         || q.vertical.effect == Effect.DEDUPLICATED && q.vertical.repeatWindow != null
                         && now.minus(call.sentAt).plus(LAST_WORD).compareTo(q.vertical.repeatWindow) < 0;
                 DataNode other = chooseNode(now, part);
-                if (lost && repeatable && other != null && !suspect(now, other, q.vertical)) {
+                if (lost(now, call) && repeatable && other != null && !suspect(now, other, q.vertical)) {
                     cancel(call);
                 }
             }
@@ -557,6 +555,9 @@
             Duration known = v.quietTime == null ? took : v.quietTime;
             v.quietTime = known.plus(times(took.minus(known), took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE));
             node.lastAnswerAt = now;
+            if (node.answeredSentAt == null || node.answeredSentAt.compareTo(call.sentAt) < 0) {
+                node.answeredSentAt = call.sentAt;
+            }
             node.answers.add(now, 1);
             node.strikes = Math.max(0, node.strikes - 1);
         }
@@ -633,6 +634,11 @@
         return call.node.avoidUntil != null || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
     }
 
+    private boolean lost(Duration now, LeafCall call) {
+        return overdue(now, call) && (call.node.avoidUntil != null || !answeredSince(call.node, call.sentAt)
+                || call.node.answeredSentAt.compareTo(call.sentAt) > 0);
+    }
+
     private static Duration quiet(Vertical v) {
         return v.quietTime == null ? times(v.sloTime, QUIET_GUESS) : v.quietTime;
     }
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -26,6 +26,8 @@
     /** Smoothed time of its answers beside the quiet time of their vertical; 0 before the first. */
     public double slowness;
     public Duration lastAnswerAt;
+    /** When the last sent of its answered calls was sent. */
+    public Duration answeredSentAt;
     /** A probe is out. */
     public boolean probing;
     /** Left alone at least until this time while another will do; null: no reason. */
