--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -455,7 +455,7 @@
                         || q.vertical.effect == Effect.DEDUPLICATED && q.vertical.repeatWindow != null
                         && now.minus(call.sentAt).plus(LAST_WORD).compareTo(q.vertical.repeatWindow) < 0;
                 DataNode other = chooseNode(now, part);
-                if (lost(now, call) && repeatable && other != null && !suspect(now, other, q.vertical)) {
+                if (silent(now, call) && repeatable && other != null && !suspect(now, other, q.vertical)) {
                     cancel(call);
                 }
             }
@@ -634,9 +634,13 @@
         return call.node.avoidUntil != null || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
     }
 
+    private boolean silent(Duration now, LeafCall call) {
+        return overdue(now, call) && (call.node.avoidUntil != null || !answeredSince(call.node, call.sentAt));
+    }
+
+    /** Silent, or overtaken: the node has answered a call that was sent later. One that only waits is not lost. */
     private boolean lost(Duration now, LeafCall call) {
-        return overdue(now, call) && (call.node.avoidUntil != null || !answeredSince(call.node, call.sentAt)
-                || call.node.answeredSentAt.compareTo(call.sentAt) > 0);
+        return silent(now, call) || overdue(now, call) && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
     }
 
     private static Duration quiet(Vertical v) {
