--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -161,9 +161,11 @@
         }
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
-            // Guards against a wide window while every node is slow, which no rejection tells: late parts narrow it,
-            // and it grows only while it is in use. It could hurt where one slow node makes a fifth of parts late.
-            boolean late = took.compareTo(times(q.vertical.sloTime, LATE_SHARE)) > 0;
+            // Guards against a wide window while every node is slow, which no rejection tells: late parts narrow it
+            // where the middle node is slow too, and it grows only while it is in use.
+            Duration limit = times(q.vertical.sloTime, LATE_SHARE);
+            boolean late = took.compareTo(limit) > 0
+                    && times(quiet(q.vertical), 2 * usualSlowness(now)).compareTo(limit) > 0;
             window = Math.max(WINDOW_LEAST, late ? window - LATE_STEP : inFlight + 1 >= window ? window + 1 : window);
             cancelAll(part);
         } else if (outcome == Outcome.NEVER_SENT || partOver) {
@@ -338,7 +340,12 @@
 
     private void fill(Duration now) {
         Set<Query> candidates = new HashSet<>(open);
-        while (inFlight < window && !candidates.isEmpty()) {
+        // A lost call holds no slot: else links that swallow calls would fill the window.
+        int lost = 0;
+        for (Query q : open) {
+            lost += parts(q, part -> !part.out.isEmpty() && !counted(now, part));
+        }
+        while (inFlight - lost < window && !candidates.isEmpty()) {
             Query best = null;
             int bestValue = 0;
             for (Query q : open) {
