--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -138,6 +138,14 @@
 
     public void queryArrived(Duration now, Query q, boolean repeated) {
         open.add(q);
+        // Guards against spending the fleet on clients' later tries whose SLO time is over: a try with less time left
+        // than the longest seen shows when its client first asked. A vertical's very first tries may be misjudged.
+        Vertical v = q.vertical;
+        Duration left = q.deadline.minus(now);
+        v.longestLeft = v.longestLeft == null || left.compareTo(v.longestLeft) > 0 ? left : v.longestLeft;
+        if (v.deadline != null && left.plus(LOOK).compareTo(v.longestLeft) < 0) {
+            q.askedAt = now.minus(v.deadline).plus(left);
+        }
         further.took(now);
         q.overShare = held.beyondShare(now, q.customer);
     }
@@ -303,12 +311,13 @@
         }
     }
 
+    /** Too much is held, or the window has been narrowed: what is worth little has to go. */
     private boolean crowded() {
         int count = 0;
         for (Query q : open) {
             count += 1 + q.parts.size();
         }
-        return held.crowded(count);
+        return window < WINDOW_START || held.crowded(count);
     }
 
     // ---- which query gets a free slot: SEDPT-R
@@ -368,7 +377,8 @@
     private boolean sendNext(Duration now, Query q, int value) {
         boolean anyN = q.vertical.anyN() && q.step == 1;
         int out = parts(q, part -> !part.merged && !part.out.isEmpty());
-        if (value <= 0 && (!anyN || spares() + 1 > SPARE_SHARE * (inFlight + 1))
+        // When every node slows or a burst narrows the window, spares would only lengthen the wait they are to shorten.
+        if (value <= 0 && (!anyN || crowded() || spares() + 1 > SPARE_SHARE * (inFlight + 1))
                 || anyN && out > alpha(q)) {
             return false;
         }
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -10,6 +10,8 @@
     /** Null where the deployment has no customers. */
     public final Customer customer;
     public final Duration arrivedAt;
+    /** When its client first asked, as far as that shows. */
+    public Duration askedAt;
     /** When the client stops waiting. */
     public final Duration deadline;
     /** Parts of the step that is under way. */
@@ -29,11 +31,12 @@
         this.vertical = vertical;
         this.customer = customer;
         this.arrivedAt = arrivedAt;
+        this.askedAt = arrivedAt;
         this.deadline = deadline;
     }
 
     public Duration sloAt() {
-        return arrivedAt.plus(vertical.sloTime);
+        return askedAt.plus(vertical.sloTime);
     }
 
     public double mergedWeight() {
