--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -311,13 +311,12 @@
         }
     }
 
-    /** Too much is held, or the window has been narrowed: what is worth little has to go. */
     private boolean crowded() {
         int count = 0;
         for (Query q : open) {
             count += 1 + q.parts.size();
         }
-        return window < WINDOW_START || held.crowded(count);
+        return held.crowded(count);
     }
 
     // ---- which query gets a free slot: SEDPT-R
@@ -378,7 +377,7 @@
         boolean anyN = q.vertical.anyN() && q.step == 1;
         int out = parts(q, part -> !part.merged && !part.out.isEmpty());
         // When every node slows or a burst narrows the window, spares would only lengthen the wait they are to shorten.
-        if (value <= 0 && (!anyN || crowded() || spares() + 1 > SPARE_SHARE * (inFlight + 1))
+        if (value <= 0 && (!anyN || window < WINDOW_START || spares() + 1 > SPARE_SHARE * (inFlight + 1))
                 || anyN && out > alpha(q)) {
             return false;
         }
