--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -36,9 +36,9 @@
     /** Share of the SLO time from which a part is late, and parts by which that narrows the window: a fifth evens out. */
     private static final double LATE_SHARE = 0.35;
     private static final int LATE_STEP = 4;
-    /** Shares of the SLO time within which a query is begun or rejected: within and beyond its customer's share. */
+    /** Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth little. */
     private static final double START_SHARE = 0.4;
-    private static final double START_SHARE_BEYOND = 0.1;
+    private static final double START_SHARE_LITTLE = 0.1;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
@@ -236,7 +236,7 @@
         } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded())) {
             giveUp(now, q);
         } else if (untouched(q) && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
-                q.overShare ? START_SHARE_BEYOND : START_SHARE)) > 0) {
+                worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0) {
             // Guards against overload of any cause: what can't begin soon is told so while the client can still act.
             giveUp(now, q);
         }
@@ -248,6 +248,10 @@
         return now.plus(still).compareTo(q.sloAt()) >= 0;
     }
 
+    private boolean worthLittle(Duration now, Query q) {
+        return q.overShare || tooLate(now, q);
+    }
+
     private static boolean untouched(Query q) {
         return q.step == 1 && parts(q, part -> !part.calls.isEmpty()) == 0;
     }
@@ -359,8 +363,7 @@
             for (Query q : open) {
                 if (candidates.contains(q)) {
                     int value = alpha(q) - delta(now, q);
-                    if (best == null || value < bestValue
-                            || value == bestValue && q.sloAt().compareTo(best.sloAt()) < 0) {
+                    if (best == null || value < bestValue || value == bestValue && before(now, q, best)) {
                         best = q;
                         bestValue = value;
                     }
@@ -372,6 +375,12 @@
         }
     }
 
+    /** Among equals, what is worth little comes last, then the oldest first. */
+    private boolean before(Duration now, Query a, Query b) {
+        boolean little = worthLittle(now, a);
+        return little == worthLittle(now, b) ? a.sloAt().compareTo(b.sloAt()) < 0 : !little;
+    }
+
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
         boolean anyN = q.vertical.anyN() && q.step == 1;
