--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -39,6 +39,8 @@
     /** Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth little. */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
+    /** Share of the window up to which a query that is worth little is begun. */
+    private static final double LITTLE_WINDOW = 0.5;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
@@ -233,7 +235,9 @@
             return;
         } else if (possible + ROUNDING < needed(q) && (in + ROUNDING >= possible || possible < q.vertical.floor)) {
             giveUp(now, q);
-        } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded())) {
+        } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
+                || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
+            // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
         } else if (untouched(q) && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
                 worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0) {
@@ -244,8 +248,13 @@
 
     /** Its SLO time is over, or what is still to be sent can't be in by then. */
     private boolean tooLate(Duration now, Query q) {
-        Duration still = alpha(q) > parts(q, part -> !part.out.isEmpty()) ? quiet(q.vertical) : Duration.ZERO;
-        return now.plus(still).compareTo(q.sloAt()) >= 0;
+        Duration usual = times(quiet(q.vertical), usualSlowness(now));
+        return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(q.sloAt()) >= 0;
+    }
+
+    /** Parts are needed that have no leaf call out. */
+    private boolean missing(Query q) {
+        return alpha(q) > parts(q, part -> !part.merged && !part.out.isEmpty());
     }
 
     private boolean worthLittle(Duration now, Query q) {
@@ -369,7 +378,8 @@
                     }
                 }
             }
-            if (!sendNext(now, best, bestValue)) {
+            boolean room = !worthLittle(now, best) || !untouched(best) || inFlight - lost < window * LITTLE_WINDOW;
+            if (!room || !sendNext(now, best, bestValue)) {
                 candidates.remove(best);
             }
         }
