--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -165,10 +165,11 @@
                 || part.mayHaveRunSince.compareTo(call.sentAt) > 0)) {
             part.mayHaveRunSince = call.sentAt;
         }
-        learn(now, call, outcome, took);
-        if (outcome == Outcome.FULL) {
+        // A node that is left alone already has narrowed the window once: rejecting fast, it would close it.
+        if (outcome == Outcome.FULL && call.node.avoidUntil == null) {
             window = Math.max(WINDOW_LEAST, window / 2);
         }
+        learn(now, call, outcome, took);
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
             // Guards against a wide window while every node is slow, which no rejection tells: late parts narrow it
@@ -607,7 +608,7 @@
         boolean silent = (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED)
                 && took.compareTo(overdueAfter(now, v)) > 0 && !answeredSince(node, call.sentAt);
         boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET || silent;
-        if (broken || outcome == Outcome.ERROR) {
+        if (broken || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             node.failures.add(now, 1);
             double failed = node.failures.atLeast(now, HEALTH_MEMORY);
             double all = failed + node.answers.atLeast(now, HEALTH_MEMORY);
