--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -39,7 +39,7 @@
     /** Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth little. */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
-    /** Share of the window up to which a query that is worth little is begun. */
+    /** Share of the window up to which a query that is worth little is begun; past it the window is in use and grows. */
     private static final double LITTLE_WINDOW = 0.5;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
@@ -177,7 +177,8 @@
             Duration limit = times(q.vertical.sloTime, LATE_SHARE);
             boolean late = took.compareTo(limit) > 0
                     && times(quiet(q.vertical), 2 * usualSlowness(now)).compareTo(limit) > 0;
-            window = Math.max(WINDOW_LEAST, late ? window - LATE_STEP : inFlight + 1 >= window ? window + 1 : window);
+            window = Math.max(WINDOW_LEAST, late ? window - LATE_STEP
+                    : inFlight + 1 >= window * LITTLE_WINDOW ? window + 1 : window);
             cancelAll(part);
         } else if (outcome == Outcome.NEVER_SENT || partOver) {
             part.closed = true;
