--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -34,7 +34,7 @@
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
     /** Share of the SLO time from which a part is late, and parts by which that narrows the window: a fifth evens out. */
-    private static final double LATE_SHARE = 0.35;
+    private static final double LATE_SHARE = 0.25;
     private static final int LATE_STEP = 4;
     /** Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth little. */
     private static final double START_SHARE = 0.4;
