--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -7,25 +7,14 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Predicate;
-import postbeam.state.Customer;
-import postbeam.state.DataNode;
-import postbeam.state.Effect;
-import postbeam.state.Fleet;
-import postbeam.state.LeafCall;
-import postbeam.state.Outcome;
-import postbeam.state.Part;
-import postbeam.state.Query;
-import postbeam.state.Readiness;
-import postbeam.state.TimeRing;
-import postbeam.state.Vertical;
+import postbeam.state.*;
 
 /**
  * All decisions of one query router. A door (see benchlink.Instance) builds one for each instance, calls one
- * method for each thing that happens, in order, and {@link #turnEnded} once all that came in together has been
- * told. Decide acts by calling {@link Host}; facts stand in postbeam.state. It holds no network code, reads no
- * clock and looks at no names. Times are spans since the instance's start. The order of free slots is
- * non-preemptive SEDPT-R (Sun et al.); docs/design.md tells what was kept and added, and why.
+ * method for each thing that happens, in order, and {@link #turnEnded} once all that came in together has
+ * been told. Decide acts by calling {@link Host}; facts stand in postbeam.state. It holds no network code,
+ * reads no clock and looks at no names. Times are spans since the instance's start. The order of free slots
+ * is non-preemptive SEDPT-R (Sun et al.); docs/design.md tells what was kept and added, and why.
  */
 public final class Decide {
     // ---- constants: unit, and why this size
@@ -33,19 +22,29 @@
     /** Parts: the window at the start, as the design page has it, and the least it falls to. */
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
-    /** Share of the SLO time from which a part is late, and parts by which that narrows the window: a fifth evens out. */
-    private static final double LATE_SHARE = 0.25;
+    /**
+     * Share of the SLO time from which a part is late, and parts by which it narrows the window: a fifth
+     * evens out.
+     */
+    private static final double LATE_SHARE = 0.3;
     private static final int LATE_STEP = 4;
-    /** Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth little. */
+    /**
+     * Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth
+     * little.
+     */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
-    /** Share of the window up to which a query that is worth little is begun; past it the window is in use and grows. */
+    /**
+     * Share of the window up to which a query worth little is begun; past it the window is in use and grows.
+     */
     private static final double LITTLE_WINDOW = 0.5;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
     private static final double STUCK_SHARE = 0.5;
-    /** Shares of the SLO time between which a leaf call becomes overdue: room for a second try, not for none. */
+    /**
+     * Shares of the SLO time between which a leaf call becomes overdue: room for a second try, not for none.
+     */
     private static final double OVERDUE_LEAST = 0.15;
     private static final double OVERDUE_MOST = 0.35;
     /** Times the usual time: past this a leaf call is no longer just unlucky. */
@@ -67,7 +66,9 @@
     private static final double QUIET_RISE = 0.01;
     /** Share of the SLO time taken for a part's quiet time before any answer has shown it. */
     private static final double QUIET_GUESS = 0.1;
-    /** Calls that a suspect node counts for when an offset is chosen: more than a sound one has at most times. */
+    /**
+     * Calls that a suspect node counts for when an offset is chosen: more than a sound one has at most times.
+     */
     private static final int SUSPECT_CALLS = 4;
     /** Seconds of work a second that a warm node surely does: one core's; sizes are not told. */
     private static final double WARM_WORK = 1.0;
@@ -114,7 +115,8 @@
 
     // ---- what can happen
 
-    public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt, double size) {
+    public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt,
+            double size) {
         boolean fresh = node.workSent == null;
         if (fresh) {
             node.workSent = cold.ring();
@@ -140,8 +142,9 @@
 
     public void queryArrived(Duration now, Query q, boolean repeated) {
         open.add(q);
-        // Guards against spending the fleet on clients' later tries whose SLO time is over: a try with less time left
-        // than the longest seen shows when its client first asked. A vertical's very first tries may be misjudged.
+        // Guards against spending the fleet on clients' later tries whose SLO time is over: a try with less
+        // time left than the longest seen shows when its client first asked. A vertical's very first tries
+        // may be misjudged.
         Vertical v = q.vertical;
         Duration left = q.deadline.minus(now);
         v.longestLeft = v.longestLeft == null || left.compareTo(v.longestLeft) > 0 ? left : v.longestLeft;
@@ -172,8 +175,8 @@
         learn(now, call, outcome, took);
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
-            // Guards against a wide window while every node is slow, which no rejection tells: late parts narrow it
-            // where the middle node is slow too, and it grows only while it is in use.
+            // Guards against a wide window while every node is slow, which no rejection tells: late parts
+            // narrow it where the middle node is slow too, and it grows only while it is in use.
             Duration limit = times(q.vertical.sloTime, LATE_SHARE);
             boolean late = took.compareTo(limit) > 0
                     && times(quiet(q.vertical), 2 * usualSlowness(now)).compareTo(limit) > 0;
@@ -209,7 +212,6 @@
         }
         lookAfter(now);
         for (Query q : open) {
-            makeRoom(now, q);
             callBack(now, q);
         }
         fill(now);
@@ -229,21 +231,23 @@
         }
         boolean waiting = q.step == 2 && q.parts.isEmpty();
         Duration left = q.deadline.minus(now);
-        if (!waiting && in + ROUNDING >= needed(q)) {
+        if (!waiting && in + ROUNDING >= q.needed()) {
             answerWhole(q);
         } else if (left.compareTo(LAST_WORD) <= 0) {
             giveUp(now, q);
         } else if (waiting || q.parts.isEmpty()) {
             return;
-        } else if (possible + ROUNDING < needed(q) && (in + ROUNDING >= possible || possible < q.vertical.floor)) {
+        } else if (possible + ROUNDING < q.needed()
+                && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)) {
             giveUp(now, q);
         } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
             // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
-        } else if (untouched(q) && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
+        } else if (q.untouched() && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
                 worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0) {
-            // Guards against overload of any cause: what can't begin soon is told so while the client can still act.
+            // Guards against overload of any cause: what can't begin soon is told so while the client can
+            // still act.
             giveUp(now, q);
         }
     }
@@ -256,30 +260,19 @@
 
     /** Parts are needed that have no leaf call out. */
     private boolean missing(Query q) {
-        return alpha(q) > parts(q, part -> !part.merged && !part.out.isEmpty());
+        return q.alpha() > q.out();
     }
 
     private boolean worthLittle(Duration now, Query q) {
         return q.overShare || tooLate(now, q);
     }
 
-    private static boolean untouched(Query q) {
-        return q.step == 1 && parts(q, part -> !part.calls.isEmpty()) == 0;
-    }
-
-    private double needed(Query q) {
-        return q.step == 1 ? q.vertical.need : 1;
-    }
-
     private void answerWhole(Query q) {
         if (q.step == 1 && q.vertical.followUp > 0) {
-            for (Part part : q.parts) {
-                cancelAll(part);
-            }
+            q.parts.forEach(this::cancelAll);
             q.firstStepParts.addAll(q.parts);
             q.parts.clear();
             q.step = 2;
-            q.firstStepWhole = true;
         } else {
             end(q);
         }
@@ -290,11 +283,8 @@
     private void giveUp(Duration now, Query q) {
         double in = q.mergedWeight();
         boolean lastStep = q.step == 2 || q.vertical.followUp == 0;
-        boolean harmless = q.vertical.effect == Effect.REPEATABLE;
-        if (!harmless) {
-            harmless = parts(q, part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0
-                    && q.firstStepParts.isEmpty();
-        }
+        boolean harmless = q.vertical.effect == Effect.REPEATABLE || q.firstStepParts.isEmpty()
+                && q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
         end(q);
         if (lastStep && in > 0 && in + ROUNDING >= q.vertical.floor) {
             host.answer(q, false);
@@ -308,9 +298,7 @@
     private void end(Query q) {
         q.ended = true;
         open.remove(q);
-        for (Part part : q.parts) {
-            cancelAll(part);
-        }
+        q.parts.forEach(this::cancelAll);
     }
 
     private void cancelAll(Part part) {
@@ -327,29 +315,14 @@
     }
 
     private boolean crowded() {
-        int count = 0;
-        for (Query q : open) {
-            count += 1 + q.parts.size();
-        }
-        return held.crowded(count);
+        return held.crowded(open.stream().mapToInt(q -> 1 + q.parts.size()).sum());
     }
 
     // ---- which query gets a free slot: SEDPT-R
 
-    /** Parts still needed. */
-    private int alpha(Query q) {
-        int unmerged = parts(q, part -> !part.merged);
-        double missing = needed(q) - q.mergedWeight();
-        double weight = 0;
-        for (Part part : q.parts) {
-            weight += part.merged ? 0 : part.weight;
-        }
-        return weight <= 0 ? unmerged : (int) Math.min(unmerged, Math.ceil(missing / (weight / unmerged) - 0.001));
-    }
-
     /** Parts in flight that can be counted on: an overdue part counts no more. */
     private int delta(Duration now, Query q) {
-        return parts(q, part -> counted(now, part));
+        return q.count(part -> counted(now, part));
     }
 
     private boolean counted(Duration now, Part part) {
@@ -364,23 +337,22 @@
     private void fill(Duration now) {
         Set<Query> candidates = new HashSet<>(open);
         // A lost call holds no slot: else links that swallow calls would fill the window.
-        int lost = 0;
-        for (Query q : open) {
-            lost += parts(q, part -> !part.out.isEmpty() && !counted(now, part));
-        }
+        int lost = open.stream()
+                .mapToInt(q -> q.count(part -> !part.out.isEmpty() && !counted(now, part))).sum();
         while (inFlight - lost < window && !candidates.isEmpty()) {
             Query best = null;
             int bestValue = 0;
             for (Query q : open) {
                 if (candidates.contains(q)) {
-                    int value = alpha(q) - delta(now, q);
+                    int value = q.alpha() - delta(now, q);
                     if (best == null || value < bestValue || value == bestValue && before(now, q, best)) {
                         best = q;
                         bestValue = value;
                     }
                 }
             }
-            boolean room = !worthLittle(now, best) || !untouched(best) || inFlight - lost < window * LITTLE_WINDOW;
+            boolean room = !worthLittle(now, best) || !best.untouched()
+                    || inFlight - lost < window * LITTLE_WINDOW;
             if (!room || !sendNext(now, best, bestValue)) {
                 candidates.remove(best);
             }
@@ -395,11 +367,10 @@
 
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
-        boolean anyN = q.vertical.anyN() && q.step == 1;
-        int out = parts(q, part -> !part.merged && !part.out.isEmpty());
-        // When every node slows or a burst narrows the window, spares would only lengthen the wait they are to shorten.
-        if (value <= 0 && (!anyN || window < WINDOW_START || spares() + 1 > SPARE_SHARE * (inFlight + 1))
-                || anyN && out > alpha(q)) {
+        // When every node slows or a burst narrows the window, spares would lengthen the wait they are to
+        // shorten.
+        if (value <= 0 && (!q.anyN() || window < WINDOW_START
+                || spares() + 1 > SPARE_SHARE * (inFlight + 1)) || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
         if (q.offset < 0) {
@@ -417,7 +388,7 @@
                 continue;
             }
             int rank = part.out.isEmpty() ? 0 : 1000;
-            if (anyN) {
+            if (q.anyN()) {
                 rank += (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0) + node.callsOut();
             }
             if (rank < bestRank) {
@@ -435,26 +406,7 @@
 
     /** Spares in flight: parts out beyond what their queries still need. */
     private int spares() {
-        int spares = 0;
-        for (Query q : open) {
-            spares += Math.max(0, parts(q, part -> !part.merged && !part.out.isEmpty()) - alpha(q));
-        }
-        return spares;
-    }
-
-    /** An any-n query with all its places out and one of them overdue: calls that one off for a fresh part. */
-    private void makeRoom(Duration now, Query q) {
-        if (!q.vertical.anyN() || q.step == 2 || alpha(q) - delta(now, q) <= 0
-                || parts(q, part -> !part.merged && !part.out.isEmpty()) <= alpha(q)
-                || parts(q, part -> part.calls.isEmpty()) == 0) {
-            return;
-        }
-        for (Part part : q.parts) {
-            if (!part.merged && !part.out.isEmpty() && !counted(now, part)) {
-                cancelAll(part);
-                return;
-            }
-        }
+        return open.stream().mapToInt(q -> Math.max(0, q.out() - q.alpha())).sum();
     }
 
     private void send(Duration now, Part part, DataNode node) {
@@ -477,28 +429,38 @@
     }
 
     /**
-     * Where a second copy is barred, calls off a leaf call whose node is silent, so that the part can go elsewhere.
-     * Time-outs would do the same to calls that merely wait their turn, and throw away the wait: when all nodes
-     * are slow that feeds the overload.
+     * Calls off lost leaf calls that keep a part from going elsewhere: where copies are barred, those to
+     * silent nodes; where an any-n query has all its places out, for a fresh part. Time-outs would do the
+     * same to calls that merely wait their turn, and throw away the wait: when all nodes are slow that feeds
+     * the overload.
      */
     private void callBack(Duration now, Query q) {
-        if (calls.mayDuplicate) {
-            return;
-        }
+        Vertical v = q.vertical;
+        boolean room = !q.anyN() || q.out() <= q.alpha() || q.count(part -> part.calls.isEmpty()) == 0;
         for (Part part : q.parts) {
-            if (!part.out.isEmpty() && !part.merged && mayStillSend(now, part) && further.allowed(now)) {
-                LeafCall call = part.out.get(0);
-                boolean repeatable = q.vertical.effect == Effect.REPEATABLE
-                        || q.vertical.effect == Effect.DEDUPLICATED && q.vertical.repeatWindow != null
-                        && now.minus(call.sentAt).plus(LAST_WORD).compareTo(q.vertical.repeatWindow) < 0;
+            if (part.out.isEmpty() || part.merged || !mayStillSend(now, part)) {
+                continue;
+            }
+            LeafCall call = part.out.get(0);
+            if (calls.mayDuplicate) {
+                if (!room && lost(now, call)) {
+                    cancelAll(part);
+                    return;
+                }
+            } else if (silent(now, call) && further.allowed(now) && v.effect != Effect.SIDE_EFFECTING
+                    && (v.effect == Effect.REPEATABLE || inWindow(now.plus(LAST_WORD), call.sentAt, v))) {
                 DataNode other = chooseNode(now, part);
-                if (silent(now, call) && repeatable && other != null && !suspect(now, other, q.vertical)) {
+                if (other != null && !suspect(now, other, v)) {
                     cancel(call);
                 }
             }
         }
     }
 
+    private static boolean inWindow(Duration now, Duration sentAt, Vertical v) {
+        return v.repeatWindow != null && now.minus(sentAt).compareTo(v.repeatWindow) < 0;
+    }
+
     // ---- which replica
 
     /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
@@ -533,8 +495,8 @@
     }
 
     /**
-     * The node at the query's offset, or at the next one that is better placed. Never shuts out all replicas on
-     * suspicion: the least bad is taken. Null where none may take the part now.
+     * The node at the query's offset, or at the next one that is better placed. Never shuts out all replicas
+     * on suspicion: the least bad is taken. Null where none may take the part now.
      */
     private DataNode chooseNode(Duration now, Part part) {
         List<DataNode> replicas = fleet.replicas(part.shard);
@@ -566,9 +528,9 @@
     // ---- health of nodes, from our own leaf calls alone
 
     /**
-     * Guards against a node that is silent, slow, failing or unreachable, whatever the cause: our own calls show
-     * it. It also catches a node the list names ready that is dead, and a zone cut off. It could hurt when all
-     * nodes are slow alike, so slowness is measured against the middle node.
+     * Guards against a node that is silent, slow, failing or unreachable, whatever the cause: our own calls
+     * show it. It also catches a node the list names ready that is dead, and a zone cut off. It could hurt
+     * when all nodes are slow alike, so slowness is measured against the middle node.
      */
     private boolean suspect(Duration now, DataNode node, Vertical v) {
         if (node.avoidUntil != null || node.strikes > 0 && !node.out.isEmpty()) {
@@ -578,7 +540,7 @@
         if (oldest != null && now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0) {
             return true;
         }
-        if (oldest != null && overdue(now, oldest) && !answeredSince(node, oldest.sentAt)) {
+        if (oldest != null && overdue(now, oldest) && !node.answeredSince(oldest.sentAt)) {
             return true;
         }
         return node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
@@ -590,7 +552,8 @@
         Vertical v = call.part.query.vertical;
         if (outcome == Outcome.MERGED) {
             Duration known = v.quietTime == null ? took : v.quietTime;
-            v.quietTime = known.plus(times(took.minus(known), took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE));
+            double weight = took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE;
+            v.quietTime = known.plus(times(took.minus(known), weight));
             node.lastAnswerAt = now;
             if (node.answeredSentAt == null || node.answeredSentAt.compareTo(call.sentAt) < 0) {
                 node.answeredSentAt = call.sentAt;
@@ -604,10 +567,11 @@
         if (shows) {
             node.slowness = node.slowness == 0 ? slow : node.slowness + SMOOTHING * (slow - node.slowness);
         }
-        // Guards against links that swallow calls and nodes that take work and answer none: once the call is over
-        // nothing else would tell of it. It could hurt where a sound node is merely late to its only call of ours.
+        // Guards against links that swallow calls and nodes that take work and answer none: once the call is
+        // over nothing else would tell of it. It could hurt where a sound node is merely late to its only
+        // call of ours.
         boolean silent = (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED)
-                && took.compareTo(overdueAfter(now, v)) > 0 && !answeredSince(node, call.sentAt);
+                && took.compareTo(overdueAfter(now, v)) > 0 && !node.answeredSince(call.sentAt);
         boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET || silent;
         if (broken || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             node.failures.add(now, 1);
@@ -619,7 +583,9 @@
         }
     }
 
-    /** Leaves a node alone for a while, longer each time; what happens while it is left alone adds nothing. */
+    /**
+     * Leaves a node alone for a while, longer each time; what happens while it is left alone adds nothing.
+     */
     private static void strike(Duration now, DataNode node) {
         if (node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0) {
             Duration rest = AVOID_FIRST.multipliedBy(1L << Math.min(node.strikes, 10));
@@ -628,13 +594,10 @@
         }
     }
 
-    private static boolean answeredSince(DataNode node, Duration since) {
-        return node.lastAnswerAt != null && node.lastAnswerAt.compareTo(since) >= 0;
-    }
-
     /**
-     * The way back of a node left alone: a probe first, which costs next to nothing beside a part lost, then one
-     * part at a time until one is merged. A probe may be answered by a node that serves nothing; the part shows it.
+     * The way back of a node left alone: a probe first, which costs next to nothing beside a part lost, then
+     * one part at a time until one is merged. A probe may be answered by a node that serves nothing; the part
+     * shows it.
      */
     private void lookAfter(Duration now) {
         for (DataNode node : fleet.nodes()) {
@@ -668,14 +631,18 @@
 
     /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
     private boolean overdue(Duration now, LeafCall call) {
-        return call.node.avoidUntil != null || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
+        return call.node.avoidUntil != null
+                || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
     }
 
     private boolean silent(Duration now, LeafCall call) {
-        return overdue(now, call) && (call.node.avoidUntil != null || !answeredSince(call.node, call.sentAt));
+        return overdue(now, call) && (call.node.avoidUntil != null || !call.node.answeredSince(call.sentAt));
     }
 
-    /** Silent, or overtaken: the node has answered a call that was sent later. One that only waits is not lost. */
+    /**
+     * Silent, or overtaken: the node has answered a call that was sent later. One that only waits is not
+     * lost.
+     */
     private boolean lost(Duration now, LeafCall call) {
         return silent(now, call) || overdue(now, call) && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
     }
@@ -694,26 +661,19 @@
         Vertical v = part.query.vertical;
         return switch (v.effect) {
             case REPEATABLE -> true;
-            case DEDUPLICATED -> part.mayHaveRunSince == null || v.repeatWindow != null
-                    && now.minus(part.mayHaveRunSince).plus(LOOK).compareTo(v.repeatWindow) < 0;
+            case DEDUPLICATED -> part.mayHaveRunSince == null
+                    || inWindow(now.plus(LOOK), part.mayHaveRunSince, v);
             case SIDE_EFFECTING -> part.mayHaveRunSince == null;
         };
     }
 
     private boolean maySendNow(Duration now, Part part) {
         boolean alone = part.out.isEmpty()
-                || part.query.vertical.effect == Effect.REPEATABLE && calls.mayDuplicate && part.out.size() < 2;
+                || part.query.vertical.effect == Effect.REPEATABLE && calls.mayDuplicate
+                && part.out.size() < 2;
         return alone && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
     }
 
-    private static int parts(Query q, Predicate<Part> which) {
-        int count = 0;
-        for (Part part : q.parts) {
-            count += which.test(part) ? 1 : 0;
-        }
-        return count;
-    }
-
     private static Duration times(Duration span, double factor) {
         return Duration.ofNanos(Math.round(span.toNanos() * factor));
     }
@@ -723,17 +683,13 @@
     }
 
     /** What may be done with leaf calls; what is not stated is not permitted. */
-    public static final class Calls {
-        private final int most;
-        private final boolean mayDuplicate;
-        private final boolean mayCancel;
-        private final boolean mayProbe;
-
+    public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe) {
         public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe) {
-            this.most = most == null ? 1 : most;
-            this.mayDuplicate = mayDuplicate != null && mayDuplicate;
-            this.mayCancel = mayCancel != null && mayCancel;
-            this.mayProbe = mayProbe != null && mayProbe;
+            this(most == null ? 1 : most, yes(mayDuplicate), yes(mayCancel), yes(mayProbe));
+        }
+
+        private static boolean yes(Boolean stated) {
+            return stated != null && stated;
         }
     }
 
@@ -835,8 +791,9 @@
         }
 
         /**
-         * Beyond its even share at this router, and further than the router's customers are on the whole: clients
-         * are not spread evenly over routers, so one that gets more than the others sees all customers beyond.
+         * Beyond its even share at this router, and further than the router's customers are on the whole:
+         * clients are not spread evenly over routers, so one that gets more than the others sees all
+         * customers beyond.
          */
         boolean beyondShare(Duration now, Customer customer) {
             if (customer == null || customer.quotaPerSecond == null || overShareUtility == null
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -56,4 +56,8 @@
     public LeafCall oldestOut() {
         return out.isEmpty() ? null : out.iterator().next();
     }
+
+    public boolean answeredSince(Duration since) {
+        return lastAnswerAt != null && lastAnswerAt.compareTo(since) >= 0;
+    }
 }
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** A query that this router has taken. */
 public final class Query {
@@ -22,7 +23,6 @@
     public int offset = -1;
     /** 1 or 2; the second step's parts come after the first is answered. */
     public int step = 1;
-    public boolean firstStepWhole;
     public boolean ended;
     /** It came beyond its customer's share. */
     public boolean overShare;
@@ -48,4 +48,42 @@
         }
         return sum;
     }
+
+    /** Share of the step's weight that makes it whole; a second step needs all. */
+    public double needed() {
+        return step == 1 ? vertical.need : 1;
+    }
+
+    public boolean anyN() {
+        return step == 1 && vertical.anyN();
+    }
+
+    public int count(Predicate<Part> which) {
+        int count = 0;
+        for (Part part : parts) {
+            count += which.test(part) ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Parts still needed, taking those left at their mean weight. */
+    public int alpha() {
+        int unmerged = count(part -> !part.merged);
+        double weight = 0;
+        for (Part part : parts) {
+            weight += part.merged ? 0 : part.weight;
+        }
+        double share = (needed() - mergedWeight()) * unmerged / weight;
+        return weight <= 0 ? unmerged : (int) Math.min(unmerged, Math.ceil(share - 0.001));
+    }
+
+    /** Parts with a leaf call out and not merged. */
+    public int out() {
+        return count(part -> !part.merged && !part.out.isEmpty());
+    }
+
+    /** No leaf call was sent for it. */
+    public boolean untouched() {
+        return step == 1 && count(part -> !part.calls.isEmpty()) == 0;
+    }
 }
