--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -142,17 +142,25 @@
 
     public void queryArrived(Duration now, Query q, boolean repeated) {
         open.add(q);
-        // Guards against spending the fleet on clients' later tries whose SLO time is over: a try with less
-        // time left than the longest seen shows when its client first asked. A vertical's very first tries
-        // may be misjudged.
+        q.askedAt = firstAskedAt(now, q);
+        further.took(now);
+        q.overShare = held.beyondShare(now, q.customer);
+    }
+
+    /**
+     * Guards against spending the fleet on clients' last tries, whose SLO time may be over: these have all that is
+     * left of the client's time, where others have the same limit each time. The usual limit is found by majority
+     * vote; while it is not, a few first tries may be taken for last ones.
+     */
+    private static Duration firstAskedAt(Duration now, Query q) {
         Vertical v = q.vertical;
         Duration left = q.deadline.minus(now);
-        v.longestLeft = v.longestLeft == null || left.compareTo(v.longestLeft) > 0 ? left : v.longestLeft;
-        if (v.deadline != null && left.plus(LOOK).compareTo(v.longestLeft) < 0) {
-            q.askedAt = now.minus(v.deadline).plus(left);
+        if (v.votes == 0) {
+            v.usualLeft = left;
         }
-        further.took(now);
-        q.overShare = held.beyondShare(now, q.customer);
+        boolean usual = left.minus(v.usualLeft).abs().compareTo(LOOK) < 0;
+        v.votes += usual ? 1 : -1;
+        return usual || v.deadline == null || v.deadline.compareTo(left) < 0 ? now : now.minus(v.deadline).plus(left);
     }
 
     public void partArrived(Duration now, Part part) {
