--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -26,7 +26,7 @@
      * Share of the SLO time from which a part is late, and parts by which it narrows the window: a fifth
      * evens out.
      */
-    private static final double LATE_SHARE = 0.3;
+    private static final double LATE_SHARE = 0.25;
     private static final int LATE_STEP = 4;
     /**
      * Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth
@@ -34,10 +34,9 @@
      */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
-    /**
-     * Share of the window up to which a query worth little is begun; past it the window is in use and grows.
-     */
-    private static final double LITTLE_WINDOW = 0.5;
+    /** Shares of the window: to which a query worth little is begun, and from which the window is in use. */
+    private static final double LITTLE_WINDOW = 0.6;
+    private static final double IN_USE_SHARE = 0.6;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
@@ -189,7 +188,7 @@
             boolean late = took.compareTo(limit) > 0
                     && times(quiet(q.vertical), 2 * usualSlowness(now)).compareTo(limit) > 0;
             window = Math.max(WINDOW_LEAST, late ? window - LATE_STEP
-                    : inFlight + 1 >= window * LITTLE_WINDOW ? window + 1 : window);
+                    : inFlight + 1 >= window * IN_USE_SHARE ? window + 1 : window);
             cancelAll(part);
         } else if (outcome == Outcome.NEVER_SENT || partOver) {
             part.closed = true;
