--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -151,7 +151,7 @@
      * left of the client's time, where others have the same limit each time. The usual limit is found by majority
      * vote; while it is not, a few first tries may be taken for last ones.
      */
-    private static Duration firstAskedAt(Duration now, Query q) {
+    static Duration firstAskedAt(Duration now, Query q) {
         Vertical v = q.vertical;
         Duration left = q.deadline.minus(now);
         if (v.votes == 0) {
--- /dev/null
+++ b/src/test/java/postbeam/DecideTest.java
@@ -0,0 +1,236 @@
+package postbeam;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static postbeam.Given.ms;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import postbeam.state.Customer;
+import postbeam.state.DataNode;
+import postbeam.state.Effect;
+import postbeam.state.LeafCall;
+import postbeam.state.Outcome;
+import postbeam.state.Query;
+import postbeam.state.Readiness;
+import postbeam.state.Vertical;
+
+class DecideTest {
+    private final Given given = new Given(3, true);
+    private final Vertical repeatable = Given.vertical(Effect.REPEATABLE, 1);
+
+    private void ends(Given at, Duration now, LeafCall call, Outcome outcome) {
+        at.decide.leafCallEnded(now, call, outcome, now.minus(call.sentAt), false);
+    }
+
+    @Test
+    void theQueryNearestCompletionGetsTheFreeSlot() {
+        given.query(ms(0), repeatable, 5);
+        Query small = given.query(ms(0), repeatable, 2);
+        given.decide.turnEnded(ms(0));
+        assertEquals(List.of(small, small), given.sent.subList(0, 2).stream().map(c -> c.part.query).toList());
+    }
+
+    @Test
+    void anyNAnswersOnTheFirstNAndCancelsTheRest() {
+        given.query(ms(0), Given.vertical(Effect.REPEATABLE, 1), 12);
+        given.decide.turnEnded(ms(0));
+        given.query(ms(0), Given.vertical(Effect.REPEATABLE, 0.5), 4);
+        given.decide.turnEnded(ms(0));
+        List<LeafCall> mine = given.sent.stream().filter(c -> c.part.query.vertical.anyN()).toList();
+        assertEquals(3, mine.size());
+        ends(given, ms(100), mine.get(0), Outcome.MERGED);
+        ends(given, ms(100), mine.get(1), Outcome.MERGED);
+        given.decide.turnEnded(ms(100));
+        assertEquals(List.of("whole"), given.ended);
+        assertEquals(List.of(mine.get(2)), given.cancelled);
+    }
+
+    @Test
+    void partsOfOneQueryShareOneOffset() {
+        given.query(ms(0), repeatable, 3);
+        given.decide.turnEnded(ms(0));
+        assertEquals(1, given.sent.stream().map(c -> c.node).distinct().count());
+    }
+
+    @Test
+    void aSideEffectingPartThatMayHaveRunIsNeitherSentAgainNorRejected() {
+        given.query(ms(0), Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
+        given.decide.turnEnded(ms(0));
+        ends(given, ms(500), given.sent.get(0), Outcome.RESET);
+        given.decide.turnEnded(ms(500));
+        assertEquals(1, given.sent.size());
+        assertEquals(List.of("aborted"), given.ended);
+    }
+
+    @Test
+    void aSideEffectingPartThatNeverRanGoesElsewhere() {
+        given.query(ms(0), Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
+        given.decide.turnEnded(ms(0));
+        ends(given, ms(5), given.sent.get(0), Outcome.FULL);
+        given.decide.turnEnded(ms(5));
+        assertEquals(2, given.sent.size());
+        assertNotSame(given.sent.get(0).node, given.sent.get(1).node);
+    }
+
+    @Test
+    void aDeduplicatedPartIsNotSentAgainPastItsWindow() {
+        Query q = given.query(ms(0), Given.vertical(Effect.DEDUPLICATED, 1), 1);
+        given.decide.turnEnded(ms(0));
+        ends(given, ms(2990), given.sent.get(0), Outcome.RESET);
+        given.decide.turnEnded(ms(2990));
+        assertEquals(1, given.sent.size());
+        assertTrue(q.ended);
+    }
+
+    @Test
+    void noSecondCopyWhereItIsBarred() {
+        Given barred = new Given(3, false);
+        barred.query(ms(0), repeatable, 1);
+        barred.decide.turnEnded(ms(0));
+        barred.decide.turnEnded(ms(1500));
+        assertEquals(1, barred.sent.size());
+        assertEquals(1, barred.cancelled.size());
+        ends(barred, ms(1505), barred.sent.get(0), Outcome.CANCELLED);
+        barred.decide.turnEnded(ms(1505));
+        assertNotSame(barred.sent.get(0).node, barred.sent.get(1).node);
+    }
+
+    @Test
+    void theLastWordComesBeforeTheClientLeaves() {
+        given.query(ms(0), repeatable, 1);
+        given.decide.turnEnded(ms(0));
+        given.decide.turnEnded(Given.DEADLINE.minus(ms(30)));
+        assertEquals(List.of("rejected"), given.ended);
+    }
+
+    @Test
+    void aQueryNotBegunInTimeIsRejectedEarly() {
+        given.nodes.forEach(n -> given.decide.nodeListed(ms(0), n, Readiness.DRAINING, null, 1));
+        given.query(ms(0), repeatable, 1);
+        given.decide.turnEnded(ms(500));
+        assertEquals(List.of(), given.ended);
+        given.decide.turnEnded(ms(1000));
+        assertEquals(List.of("rejected"), given.ended);
+    }
+
+    @Test
+    void nothingGoesToADrainingNode() {
+        given.decide.nodeListed(ms(0), given.nodes.get(0), Readiness.DRAINING, null, 1);
+        given.decide.nodeListed(ms(0), given.nodes.get(1), Readiness.GONE, null, 1);
+        given.query(ms(10), repeatable, 6);
+        given.decide.turnEnded(ms(10));
+        assertEquals(6, given.sent.size());
+        assertTrue(given.sent.stream().allMatch(c -> c.node == given.nodes.get(2)));
+    }
+
+    @Test
+    void aNodeThatSwallowsACallIsLeftAloneAndProbed() {
+        given.query(ms(0), repeatable, 1);
+        given.decide.turnEnded(ms(0));
+        LeafCall call = given.sent.get(0);
+        ends(given, ms(1200), call, Outcome.CANCELLED);
+        assertNotNull(call.node.avoidUntil);
+        given.decide.turnEnded(ms(1800));
+        assertEquals(List.of(call.node), given.probed);
+        given.decide.probed(ms(1801), call.node, true, ms(1));
+        assertNull(call.node.avoidUntil);
+    }
+
+    @Test
+    void aNodeThatRejectsAtOnceDrawsNoMoreParts() {
+        given.query(ms(0), repeatable, 2);
+        given.decide.turnEnded(ms(0));
+        DataNode full = given.sent.get(0).node;
+        ends(given, ms(1), given.sent.get(0), Outcome.FULL);
+        ends(given, ms(1), given.sent.get(1), Outcome.FULL);
+        given.query(ms(2), repeatable, 4);
+        given.decide.turnEnded(ms(2));
+        assertTrue(given.sent.stream().skip(2).noneMatch(c -> c.node == full));
+    }
+
+    @Test
+    void suspicionNeverShutsOutAllReplicas() {
+        given.nodes.forEach(n -> n.avoidUntil = ms(5000));
+        given.query(ms(0), repeatable, 1);
+        given.decide.turnEnded(ms(0));
+        assertEquals(1, given.sent.size());
+    }
+
+    @Test
+    void lostCallsHoldNoSlot() {
+        for (int i = 0; i < 4; i++) {
+            given.query(ms(0), repeatable, 8);
+        }
+        given.decide.turnEnded(ms(0));
+        assertEquals(32, given.sent.size());
+        given.sent.forEach(c -> c.node.avoidUntil = ms(5000));
+        Query q = given.query(ms(10), repeatable, 1);
+        given.decide.turnEnded(ms(10));
+        assertEquals(1, q.parts.get(0).out.size());
+    }
+
+    @Test
+    void aLateQueryWhosePartsAreAllOutIsKept() {
+        Query q = given.query(ms(0), repeatable, 2);
+        given.decide.turnEnded(ms(0));
+        given.decide.turnEnded(Given.SLO.plus(ms(100)));
+        assertFalse(q.ended);
+    }
+
+    @Test
+    void aLastTryShowsWhenItsClientFirstAsked() {
+        for (int i = 0; i < 3; i++) {
+            Decide.firstAskedAt(ms(0), new Query(repeatable, null, ms(0), ms(4000)));
+        }
+        Query last = new Query(repeatable, null, ms(9000), ms(9000 + 4500));
+        assertEquals(ms(7500), Decide.firstAskedAt(ms(9000), last));
+        Query usual = new Query(repeatable, null, ms(9000), ms(9000 + 4000));
+        assertEquals(ms(9000), Decide.firstAskedAt(ms(9000), usual));
+    }
+
+    @Test
+    void aColdNodeGetsNoMoreThanThisRoutersShareOfEveryWindow() {
+        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 2, ms(20));
+        DataNode node = new DataNode(0, true);
+        node.workSent = cold.ring();
+        node.startedAt = ms(0);
+        assertTrue(cold.allows(ms(10), node, ms(150)));
+        node.workSent.add(ms(10), 0.15);
+        assertFalse(cold.allows(ms(900), node, ms(150)));
+        assertTrue(cold.allows(ms(11_000), node, ms(5000)));
+    }
+
+    @Test
+    void furtherLeafCallsStayWithinTheRation() {
+        var ration = new Decide.FurtherCalls(1.0, 0.1, ms(10_000));
+        for (int i = 0; i < 10; i++) {
+            ration.took(ms(0));
+        }
+        ration.sent(ms(100));
+        assertTrue(ration.allowed(ms(200)));
+        ration.sent(ms(200));
+        assertFalse(ration.allowed(ms(300)));
+    }
+
+    @Test
+    void aCustomerIsBeyondItsShareOnlyAheadOfTheOthers() {
+        var held = new Decide.Held(100, 1, 0.1, null);
+        Customer loud = new Customer(1.0);
+        Customer quiet = new Customer(9.0);
+        for (int i = 0; i < 12; i++) {
+            held.beyondShare(ms(i), quiet);
+        }
+        assertFalse(held.beyondShare(ms(20), loud));
+        for (int i = 0; i < 10; i++) {
+            held.beyondShare(ms(21), loud);
+        }
+        assertTrue(held.beyondShare(ms(30), loud));
+        assertFalse(held.beyondShare(ms(30), quiet));
+    }
+}
--- /dev/null
+++ b/src/test/java/postbeam/benchlink/DoorTest.java
@@ -0,0 +1,53 @@
+package postbeam.benchlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class DoorTest {
+    private static final String CREATE = "CREATE\t3\t5\tclasses.count=1\tclasses.0.name=a\tclasses.0.promise=2000000"
+            + "\tclasses.0.effect=retryable\tcaps.maxAttempts=3\tdomain.cells=1\tdomain.reach=1\tnew.key=7\n";
+    private static final String LIST = "SNAPSHOT_ROWS\t0\t1\nROW\tz\t0\t10.0.0.1:80\t1\t-\tm\t1\nREGISTRY\t3\t0\t2\t1\n";
+    private static final String QUERY = "INGRESS\t3\tq-id\ta\t-\t-\t4000000\t-\t1\t-1\t1\t0\n"
+            + "INGRESS\t3\tp-id\ta\t-\t-\t4000000\t-\t1\t0\t1.0\t0\n";
+
+    private static String reply(String wire) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Door(new ByteArrayInputStream(wire.getBytes(StandardCharsets.UTF_8)), out).run();
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void anEmptyBatchIsAnswered() throws IOException {
+        assertEquals("DONE\n", reply("SYNC\t5\nEOF_BATCH\n"));
+    }
+
+    @Test
+    void aPartIsSentAndItsQueryAnsweredOnce() throws IOException {
+        String wire = "SYNC\t5\n" + CREATE + LIST + QUERY + "EOF_BATCH\nSYNC\t105\n"
+                + "REPORT_BACK\t3\tp-id\t0\tok\t1\t100\t10.0.0.1:80\t-\nEOF_BATCH\nSYNC\t110\nABANDONED\t3\tq-id\nEOF_BATCH\n";
+        String reply = reply(wire);
+        assertTrue(reply.startsWith("ATTEMPT\t3\tp-id\t10.0.0.1:80\t"), reply);
+        assertEquals(reply.indexOf("WRAP_UP\t3\tq-id\t1\n"), reply.lastIndexOf("WRAP_UP"), reply);
+        assertTrue(reply.contains("WRAP_UP"), reply);
+    }
+
+    @Test
+    void anInstanceMayStopAndStartInOneBatch() throws IOException {
+        String wire = "SYNC\t5\n" + CREATE + LIST + "EOF_BATCH\n"
+                + "SYNC\t10\nDETACH\t3\n" + CREATE + LIST + QUERY + "EOF_BATCH\n";
+        assertTrue(reply(wire).contains("ATTEMPT\t3\tp-id"));
+    }
+
+    @Test
+    void malformedInputNamesTheLine() {
+        MalformedLine e = assertThrows(MalformedLine.class, () -> reply("SYNC\t5\nINGRESS\tx\n"));
+        assertTrue(e.getMessage().startsWith("line 2: "), e.getMessage());
+    }
+}
