--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -470,11 +471,21 @@
 
     // ---- which replica
 
+    /**
+     * The part's replica list: nodes of our zone first, then by their place within the reach of a shard. So the same
+     * offset leads neighbouring shards to the same nodes, and their parts share calls, each of which has a cost.
+     */
+    private List<DataNode> replicas(Part part) {
+        List<DataNode> replicas = fleet.replicas(part.shard);
+        replicas.sort(Comparator.comparingInt(n -> (n.sameZone ? 0 : fleet.reach) + n.cell % fleet.reach));
+        return replicas;
+    }
+
     /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
     private int chooseOffset(Duration now, Query q) {
         int most = 1;
         for (Part part : q.parts) {
-            most = Math.max(most, fleet.replicas(part.shard).size());
+            most = Math.max(most, replicas(part).size());
         }
         int first = chance.nextInt(most);
         int best = first;
@@ -484,7 +495,7 @@
             Set<DataNode> nodes = new HashSet<>();
             double cost = 0;
             for (Part part : q.parts) {
-                List<DataNode> replicas = fleet.replicas(part.shard);
+                List<DataNode> replicas = replicas(part);
                 if (!replicas.isEmpty()) {
                     DataNode node = replicas.get(offset % replicas.size());
                     cost += node.sameZone ? 0 : 0.01;
@@ -506,7 +517,7 @@
      * on suspicion: the least bad is taken. Null where none may take the part now.
      */
     private DataNode chooseNode(Duration now, Part part) {
-        List<DataNode> replicas = fleet.replicas(part.shard);
+        List<DataNode> replicas = replicas(part);
         DataNode best = null;
         int bestRank = Integer.MAX_VALUE;
         for (int i = 0; i < replicas.size(); i++) {
--- a/src/main/java/postbeam/state/Fleet.java
+++ b/src/main/java/postbeam/state/Fleet.java
@@ -7,7 +7,8 @@
 public final class Fleet {
     private final List<List<DataNode>> cells = new ArrayList<>();
     private final List<DataNode> nodes = new ArrayList<>();
-    private final int reach;
+    /** How many cells in a row hold a shard. */
+    public final int reach;
 
     public Fleet(int cellCount, int reach) {
         for (int i = 0; i < cellCount; i++) {
