--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -178,7 +178,7 @@
         }
         // A node that is left alone already has narrowed the window once: rejecting fast, it would close it.
         if (outcome == Outcome.FULL && call.node.avoidUntil == null) {
-            window = Math.max(WINDOW_LEAST, window / 2);
+            window = Math.max(leastWindow(), window / 2);
         }
         learn(now, call, outcome, took);
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
@@ -188,7 +188,7 @@
             Duration limit = times(q.vertical.sloTime, LATE_SHARE);
             boolean late = took.compareTo(limit) > 0
                     && times(quiet(q.vertical), 2 * usualSlowness(now)).compareTo(limit) > 0;
-            window = Math.max(WINDOW_LEAST, late ? window - LATE_STEP
+            window = Math.max(leastWindow(), late ? window - LATE_STEP
                     : inFlight + 1 >= window * IN_USE_SHARE ? window + 1 : window);
             cancelAll(part);
         } else if (outcome == Outcome.NEVER_SENT || partOver) {
@@ -342,6 +342,11 @@
         return false;
     }
 
+    /** One part a node: less would leave nodes idle while queries wait. */
+    private int leastWindow() {
+        return Math.max(WINDOW_LEAST, fleet.nodes().size());
+    }
+
     private void fill(Duration now) {
         Set<Query> candidates = new HashSet<>(open);
         // A lost call holds no slot: else links that swallow calls would fill the window.
