--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -23,16 +23,10 @@
     /** Parts: the window at the start, as the design page has it, and the least it falls to. */
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
-    /**
-     * Share of the SLO time from which a part is late, and parts by which it narrows the window: a fifth
-     * evens out.
-     */
+    /** Share of the SLO time from which a part is late, and parts it narrows the window by. */
     private static final double LATE_SHARE = 0.25;
     private static final int LATE_STEP = 4;
-    /**
-     * Shares of the SLO time within which a query is begun or rejected: usually, and where it is worth
-     * little.
-     */
+    /** Shares of the SLO time within which a query is begun or rejected: usually, and if worth little. */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
     /** Shares of the window: to which a query worth little is begun, and from which the window is in use. */
@@ -42,9 +36,7 @@
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
     private static final double STUCK_SHARE = 0.5;
-    /**
-     * Shares of the SLO time between which a leaf call becomes overdue: room for a second try, not for none.
-     */
+    /** Shares of the SLO time between which a leaf call becomes overdue: room is left for a second try. */
     private static final double OVERDUE_LEAST = 0.15;
     private static final double OVERDUE_MOST = 0.35;
     /** Times the usual time: past this a leaf call is no longer just unlucky. */
@@ -66,12 +58,10 @@
     private static final double QUIET_RISE = 0.01;
     /** Share of the SLO time taken for a part's quiet time before any answer has shown it. */
     private static final double QUIET_GUESS = 0.1;
-    /**
-     * Calls that a suspect node counts for when an offset is chosen: more than a sound one has at most times.
-     */
+    /** Calls that a suspect node counts for when an offset is chosen: more than a sound one mostly has. */
     private static final int SUSPECT_CALLS = 4;
-    /** Seconds of work a second that a warm node surely does: one core's; sizes are not told. */
-    private static final double WARM_WORK = 1.0;
+    /** Seconds of work a second that a warm node does at least: two cores'; smaller machines are rare. */
+    private static final double WARM_WORK = 2.0;
     /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
     private static final double COLD_SAFETY = 0.9;
     /** Share of the limit on held queries and parts from which the router is crowded. */
@@ -148,9 +138,9 @@
     }
 
     /**
-     * Guards against spending the fleet on clients' last tries, whose SLO time may be over: these have all that is
-     * left of the client's time, where others have the same limit each time. The usual limit is found by majority
-     * vote; while it is not, a few first tries may be taken for last ones.
+     * Guards against spending the fleet on clients' last tries, whose SLO time may be over: these have all of
+     * the time left, where others have the same limit each time. The usual limit is found by
+     * majority vote; while it is not, a few first tries may be taken for last ones.
      */
     static Duration firstAskedAt(Duration now, Query q) {
         Vertical v = q.vertical;
@@ -160,7 +150,8 @@
         }
         boolean usual = left.minus(v.usualLeft).abs().compareTo(LOOK) < 0;
         v.votes += usual ? 1 : -1;
-        return usual || v.deadline == null || v.deadline.compareTo(left) < 0 ? now : now.minus(v.deadline).plus(left);
+        boolean last = !usual && v.deadline != null && v.deadline.compareTo(left) >= 0;
+        return last ? now.minus(v.deadline).plus(left) : now;
     }
 
     public void partArrived(Duration now, Part part) {
@@ -397,14 +388,10 @@
                 continue;
             }
             DataNode node = chooseNode(now, part);
-            if (node == null) {
-                continue;
-            }
-            int rank = part.out.isEmpty() ? 0 : 1000;
-            if (q.anyN()) {
-                rank += (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0) + node.callsOut();
-            }
-            if (rank < bestRank) {
+            // First parts before copies; where any n will do, those whose nodes have least to do.
+            int rank = (part.out.isEmpty() ? 0 : 1000) + (node == null || !q.anyN() ? 0
+                    : node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0));
+            if (node != null && rank < bestRank) {
                 bestPart = part;
                 bestNode = node;
                 bestRank = rank;
@@ -477,8 +464,8 @@
     // ---- which replica
 
     /**
-     * The part's replica list: nodes of our zone first, then by their place within the reach of a shard. So the same
-     * offset leads neighbouring shards to the same nodes, and their parts share calls, each of which has a cost.
+     * The part's replica list: nodes of our zone first, then by their place within a shard's reach. So one
+     * offset leads neighbouring shards to the same nodes, and their parts share calls, which have a cost.
      */
     private List<DataNode> replicas(Part part) {
         List<DataNode> replicas = fleet.replicas(part.shard);
@@ -537,10 +524,7 @@
                 rank += call.node == node ? 1 : 0;
                 here |= call.node == node && !call.ended;
             }
-            if (here || !part.out.isEmpty() && rank > 0) {
-                continue;
-            }
-            if (rank < bestRank) {
+            if (!here && (part.out.isEmpty() || rank == 0) && rank < bestRank) {
                 best = node;
                 bestRank = rank;
             }
@@ -560,10 +544,8 @@
             return true;
         }
         LeafCall oldest = node.oldestOut();
-        if (oldest != null && now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0) {
-            return true;
-        }
-        if (oldest != null && overdue(now, oldest) && !node.answeredSince(oldest.sentAt)) {
+        if (oldest != null && (silent(now, oldest)
+                || now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0)) {
             return true;
         }
         return node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
@@ -606,9 +588,7 @@
         }
     }
 
-    /**
-     * Leaves a node alone for a while, longer each time; what happens while it is left alone adds nothing.
-     */
+    /** Leaves a node alone for a while, longer each time; what happens in that while adds nothing. */
     private static void strike(Duration now, DataNode node) {
         if (node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0) {
             Duration rest = AVOID_FIRST.multipliedBy(1L << Math.min(node.strikes, 10));
@@ -662,10 +642,7 @@
         return overdue(now, call) && (call.node.avoidUntil != null || !call.node.answeredSince(call.sentAt));
     }
 
-    /**
-     * Silent, or overtaken: the node has answered a call that was sent later. One that only waits is not
-     * lost.
-     */
+    /** Silent, or overtaken: the node has answered a call sent later. One that only waits is not lost. */
     private boolean lost(Duration now, LeafCall call) {
         return silent(now, call) || overdue(now, call) && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
     }
@@ -718,63 +695,42 @@
 
     /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
     public static final class FurtherCalls {
-        private final Double free;
-        private final Double share;
+        private final double free;
+        private final double share;
         private final Duration span;
         private final TimeRing taken;
         private final TimeRing sent;
 
         public FurtherCalls(Double free, Double share, Duration span) {
-            this.free = free;
-            this.share = share;
+            this.free = free == null ? 0 : free;
+            this.share = share == null ? 0 : share;
             this.span = span;
-            this.taken = span == null ? null : new TimeRing(span, BUCKETS);
-            this.sent = span == null ? null : new TimeRing(span, BUCKETS);
+            this.taken = new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+            this.sent = new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
         }
 
         void took(Duration now) {
-            if (span != null) {
-                taken.add(now, 1);
-            }
+            taken.add(now, 1);
         }
 
         void sent(Duration now) {
-            if (span != null) {
-                sent.add(now, 1);
-            }
+            sent.add(now, 1);
         }
 
         boolean allowed(Duration now) {
-            return span == null || sent.atLeast(now, span) + 1
-                    <= (free == null ? 0 : free) + (share == null ? 0 : share) * taken.atMost(now, span);
+            return span == null || sent.atLeast(now, span) + 1 <= free + share * taken.atMost(now, span);
         }
     }
 
     /** This router's own share of what a cold node may be sent in any window of the rule. */
-    public static final class ColdPacing {
-        private final Double from;
-        private final Duration ramp;
-        private final Double multiple;
-        private final Duration span;
-        private final int routers;
-        private final Duration callCost;
-
-        public ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
-                Duration callCost) {
-            this.from = from;
-            this.ramp = ramp;
-            this.multiple = multiple;
-            this.span = span;
-            this.routers = routers == null ? 1 : Math.max(1, routers);
-            this.callCost = callCost == null ? Duration.ZERO : callCost;
-        }
-
+    public record ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
+            Duration callCost) {
         TimeRing ring() {
             return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
         }
 
         Duration work(Part part, Duration quiet) {
-            return part.work == null ? quiet : part.work.plus(callCost);
+            return part.work == null ? quiet : part.work.plus(callCost == null ? Duration.ZERO : callCost);
         }
 
         /** Capacity is taken as it was when the window began, so every window is within its budget. */
@@ -788,8 +744,8 @@
             }
             double risen = Math.max(0, seconds(age.minus(span)) / seconds(ramp));
             double capacity = ((from == null ? 0 : from) * (1 - risen) + risen) * WARM_WORK;
-            double budget = COLD_SAFETY * multiple * capacity * seconds(span) / routers;
-            return node.workSent.atLeast(now, span) + seconds(work) <= budget;
+            double mine = COLD_SAFETY * multiple / (routers == null ? 1 : routers);
+            return node.workSent.atLeast(now, span) + seconds(work) <= mine * capacity * seconds(span);
         }
     }
 
