--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -239,7 +239,7 @@
         } else if (possible + ROUNDING < q.needed()
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)) {
             giveUp(now, q);
-        } else if (tooLate(now, q) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
+        } else if (tooLate(now, q, q.arrivedAt) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
             // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
@@ -251,10 +251,10 @@
         }
     }
 
-    /** Its SLO time is over, or what is still to be sent can't be in by then. */
-    private boolean tooLate(Duration now, Query q) {
+    /** Its SLO time, counted from then, is over, or what is still to be sent can't be in by its end. */
+    private boolean tooLate(Duration now, Query q, Duration from) {
         Duration usual = times(quiet(q.vertical), usualSlowness(now));
-        return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(q.sloAt()) >= 0;
+        return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
     }
 
     /** Parts are needed that have no leaf call out. */
@@ -262,8 +262,9 @@
         return q.alpha() > q.out();
     }
 
+    /** A short limit may also be an impatient client's: so it only comes last, and is not given up for it. */
     private boolean worthLittle(Duration now, Query q) {
-        return q.overShare || tooLate(now, q);
+        return q.overShare || tooLate(now, q, q.askedAt);
     }
 
     private void answerWhole(Query q) {
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -36,7 +36,7 @@
     }
 
     public Duration sloAt() {
-        return askedAt.plus(vertical.sloTime);
+        return arrivedAt.plus(vertical.sloTime);
     }
 
     public double mergedWeight() {
