--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -51,6 +51,8 @@
     /** First and longest time for which a failing node is left alone; doubled by each strike. */
     private static final Duration AVOID_FIRST = Duration.ofMillis(500);
     private static final Duration AVOID_LONGEST = Duration.ofSeconds(4);
+    /** Time for which nothing goes to a node that rejected a part as full: it clears a few parts meanwhile. */
+    private static final Duration FULL_REST = Duration.ofMillis(100);
     /** Weight of a new answer in a node's smoothed slowness: about the last four count. */
     private static final double SMOOTHING = 0.25;
     /** Weights with which a vertical's quiet time falls to a faster answer and creeps up to a slower one. */
@@ -167,6 +169,10 @@
                 || part.mayHaveRunSince.compareTo(call.sentAt) > 0)) {
             part.mayHaveRunSince = call.sentAt;
         }
+        if (outcome == Outcome.FULL) {
+            // Guards against using up a part's few leaf calls within a few turns where no other replica is sound.
+            call.node.fullUntil = now.plus(FULL_REST);
+        }
         // A node that is left alone already has narrowed the window once: rejecting fast, it would close it.
         if (outcome == Outcome.FULL && call.node.avoidUntil == null) {
             window = Math.max(leastWindow(), window / 2);
@@ -516,7 +522,8 @@
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
             Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY || !cold.allows(now, node, work)) {
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, work)
+                    || node.fullUntil != null && now.compareTo(node.fullUntil) < 0) {
                 continue;
             }
             int rank = suspect(now, node, part.query.vertical) ? 2 : 0;
