--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -51,8 +51,6 @@
     /** First and longest time for which a failing node is left alone; doubled by each strike. */
     private static final Duration AVOID_FIRST = Duration.ofMillis(500);
     private static final Duration AVOID_LONGEST = Duration.ofSeconds(4);
-    /** Time for which nothing goes to a node that rejected a part as full: it clears a few parts meanwhile. */
-    private static final Duration FULL_REST = Duration.ofMillis(100);
     /** Weight of a new answer in a node's smoothed slowness: about the last four count. */
     private static final double SMOOTHING = 0.25;
     /** Weights with which a vertical's quiet time falls to a faster answer and creeps up to a slower one. */
@@ -169,10 +167,6 @@
                 || part.mayHaveRunSince.compareTo(call.sentAt) > 0)) {
             part.mayHaveRunSince = call.sentAt;
         }
-        if (outcome == Outcome.FULL) {
-            // Guards against using up a part's few leaf calls within a few turns where no other replica is sound.
-            call.node.fullUntil = now.plus(FULL_REST);
-        }
         // A node that is left alone already has narrowed the window once: rejecting fast, it would close it.
         if (outcome == Outcome.FULL && call.node.avoidUntil == null) {
             window = Math.max(leastWindow(), window / 2);
@@ -270,7 +264,19 @@
 
     /** A short limit may also be an impatient client's: so it only comes last, and is not given up for it. */
     private boolean worthLittle(Duration now, Query q) {
-        return q.overShare || tooLate(now, q, q.askedAt);
+        return q.overShare || tooLate(now, q, q.askedAt) || q.untouched() && !placeable(now, q);
+    }
+
+    /**
+     * Guards against work for queries that a shard without a sound node will spoil: where others wait, they come
+     * last. It also holds back what would need a cold node without budget. Alone, they are tried all the same.
+     */
+    private boolean placeable(Duration now, Query q) {
+        chooseOffset(now, q);
+        return q.alpha() <= q.count(part -> {
+            DataNode node = chooseNode(now, part);
+            return node != null && !suspect(now, node, q.vertical);
+        });
     }
 
     private void answerWhole(Query q) {
@@ -384,9 +390,7 @@
                 || spares() + 1 > SPARE_SHARE * (inFlight + 1)) || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
-        if (q.offset < 0) {
-            q.offset = chooseOffset(now, q);
-        }
+        chooseOffset(now, q);
         Part bestPart = null;
         DataNode bestNode = null;
         int bestRank = Integer.MAX_VALUE;
@@ -481,7 +485,10 @@
     }
 
     /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
-    private int chooseOffset(Duration now, Query q) {
+    private void chooseOffset(Duration now, Query q) {
+        if (q.offset >= 0) {
+            return;
+        }
         int most = 1;
         for (Part part : q.parts) {
             most = Math.max(most, replicas(part).size());
@@ -508,7 +515,7 @@
                 best = offset;
             }
         }
-        return best;
+        q.offset = best;
     }
 
     /**
@@ -522,8 +529,7 @@
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
             Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY || !cold.allows(now, node, work)
-                    || node.fullUntil != null && now.compareTo(node.fullUntil) < 0) {
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, work)) {
                 continue;
             }
             int rank = suspect(now, node, part.query.vertical) ? 2 : 0;
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -32,8 +32,6 @@
     public boolean probing;
     /** Left alone at least until this time while another will do; null: no reason. */
     public Duration avoidUntil;
-    /** It rejected a part as full and gets nothing until then; null: no reason. */
-    public Duration fullUntil;
     /** Failures in a row that led to avoiding it. */
     public int strikes;
 
