--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -60,6 +60,8 @@
     private static final double QUIET_GUESS = 0.1;
     /** Calls that a suspect node counts for when an offset is chosen: more than a sound one mostly has. */
     private static final int SUSPECT_CALLS = 4;
+    /** Calls that a part across zones counts for when an offset is chosen: crossing has a price, waiting more. */
+    private static final double ZONE_CALLS = 0.15;
     /** Seconds of work a second that a warm node does at least: two cores'; smaller machines are rare. */
     private static final double WARM_WORK = 2.0;
     /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
@@ -504,7 +506,7 @@
                 List<DataNode> replicas = replicas(part);
                 if (!replicas.isEmpty()) {
                     DataNode node = replicas.get(offset % replicas.size());
-                    cost += node.sameZone ? 0 : 0.01;
+                    cost += node.sameZone ? 0 : ZONE_CALLS;
                     if (nodes.add(node)) {
                         cost += node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0);
                     }
