--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -60,8 +60,6 @@
     private static final double QUIET_GUESS = 0.1;
     /** Calls that a suspect node counts for when an offset is chosen: more than a sound one mostly has. */
     private static final int SUSPECT_CALLS = 4;
-    /** Calls that a part across zones counts for when an offset is chosen: crossing has a price, waiting more. */
-    private static final double ZONE_CALLS = 0.15;
     /** Seconds of work a second that a warm node does at least: two cores'; smaller machines are rare. */
     private static final double WARM_WORK = 2.0;
     /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
@@ -234,7 +232,7 @@
         Duration left = q.deadline.minus(now);
         if (!waiting && in + ROUNDING >= q.needed()) {
             answerWhole(q);
-        } else if (left.compareTo(LAST_WORD) <= 0) {
+        } else if (left.compareTo(LAST_WORD) <= 0 || partialIsBest(now, q, in)) {
             giveUp(now, q);
         } else if (waiting || q.parts.isEmpty()) {
             return;
@@ -253,6 +251,13 @@
         }
     }
 
+    /** The SLO time is about to pass, and what is in is worth more now than a whole answer after it. */
+    private static boolean partialIsBest(Duration now, Query q, double in) {
+        Vertical v = q.vertical;
+        return v.floor < v.need && in + ROUNDING >= v.floor && v.shortUtility * in / v.need > v.lateUtility
+                && now.plus(LAST_WORD).compareTo(q.sloAt()) >= 0;
+    }
+
     /** Its SLO time, counted from then, is over, or what is still to be sent can't be in by its end. */
     private boolean tooLate(Duration now, Query q, Duration from) {
         Duration usual = times(quiet(q.vertical), usualSlowness(now));
@@ -506,7 +511,7 @@
                 List<DataNode> replicas = replicas(part);
                 if (!replicas.isEmpty()) {
                     DataNode node = replicas.get(offset % replicas.size());
-                    cost += node.sameZone ? 0 : ZONE_CALLS;
+                    cost += node.sameZone ? 0 : 0.01;
                     if (nodes.add(node)) {
                         cost += node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0);
                     }
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -197,6 +197,18 @@
         assertFalse(q.ended);
     }
 
+    @Test
+    void anHonestPartialAnswerComesBeforeTheSloTimePasses() {
+        Vertical floored = new Vertical(Given.SLO, Given.DEADLINE, Effect.REPEATABLE, null, 1, 0.1, 1, 0.5, 0.9, 0);
+        given.query(ms(0), floored, 2);
+        given.decide.turnEnded(ms(0));
+        ends(given, ms(100), given.sent.get(0), Outcome.MERGED);
+        given.decide.turnEnded(ms(1900));
+        assertEquals(List.of(), given.ended);
+        given.decide.turnEnded(ms(1960));
+        assertEquals(List.of("partial"), given.ended);
+    }
+
     @Test
     void aLastTryShowsWhenItsClientFirstAsked() {
         for (int i = 0; i < 3; i++) {
