--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -28,7 +28,7 @@
     private static final int LATE_STEP = 4;
     /** Shares of the SLO time within which a query is begun or rejected: usually, and if worth little. */
     private static final double START_SHARE = 0.4;
-    private static final double START_SHARE_LITTLE = 0.1;
+    private static final double START_SHARE_LITTLE = 0.2;
     /** Shares of the window: to which a query worth little is begun, and from which the window is in use. */
     private static final double LITTLE_WINDOW = 0.6;
     private static final double IN_USE_SHARE = 0.6;
@@ -282,7 +282,7 @@
         chooseOffset(now, q);
         return q.alpha() <= q.count(part -> {
             DataNode node = chooseNode(now, part);
-            return node != null && node.avoidUntil == null;
+            return node != null && !suspect(now, node, q.vertical);
         });
     }
 
