--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -28,10 +28,12 @@
     private static final int LATE_STEP = 4;
     /** Shares of the SLO time within which a query is begun or rejected: usually, and if worth little. */
     private static final double START_SHARE = 0.4;
-    private static final double START_SHARE_LITTLE = 0.2;
+    private static final double START_SHARE_LITTLE = 0.1;
     /** Shares of the window: to which a query worth little is begun, and from which the window is in use. */
     private static final double LITTLE_WINDOW = 0.6;
     private static final double IN_USE_SHARE = 0.6;
+    /** Oldest open queries that compete for slots: more than any limit on held ones allows, and it bounds a turn. */
+    private static final int CANDIDATES = 48;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
@@ -91,6 +93,8 @@
     private double window = WINDOW_START;
     private int inFlight;
     private boolean waking;
+    private Duration usualAt;
+    private double usual;
 
     public Decide(Host host, Random chance, Fleet fleet, Held held, Calls calls, FurtherCalls further,
             ColdPacing cold) {
@@ -243,8 +247,10 @@
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
             // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
-        } else if (q.untouched() && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
-                worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0) {
+        } else if (q.untouched()
+                && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime, START_SHARE_LITTLE)) > 0
+                && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime, worthLittle(now, q)
+                        ? START_SHARE_LITTLE : START_SHARE)) > 0) {
             // Guards against overload of any cause: what can't begin soon is told so while the client can
             // still act.
             giveUp(now, q);
@@ -359,14 +365,14 @@
     }
 
     private void fill(Duration now) {
-        Set<Query> candidates = new HashSet<>(open);
+        Set<Query> candidates = new HashSet<>(open.subList(0, Math.min(open.size(), CANDIDATES)));
         // A lost call holds no slot: else links that swallow calls would fill the window.
         int lost = open.stream()
                 .mapToInt(q -> q.count(part -> !part.out.isEmpty() && !counted(now, part))).sum();
         while (inFlight - lost < window && !candidates.isEmpty()) {
             Query best = null;
             int bestValue = 0;
-            for (Query q : open) {
+            for (Query q : open.subList(0, Math.min(open.size(), CANDIDATES))) {
                 if (candidates.contains(q)) {
                     int value = q.alpha() - delta(now, q);
                     if (best == null || value < bestValue || value == bestValue && before(now, q, best)) {
@@ -638,12 +644,17 @@
 
     /** Slowness of the middle node among those that answered lately. */
     private double usualSlowness(Duration now) {
+        if (now.equals(usualAt)) {
+            return usual;
+        }
+        usualAt = now;
         double[] slow = fleet.nodes().stream()
                 .filter(n -> n.slowness > 0 && n.lastAnswerAt != null
                         && now.minus(n.lastAnswerAt).compareTo(HEALTH_MEMORY) < 0)
                 .mapToDouble(n -> n.slowness).toArray();
         Arrays.sort(slow);
-        return slow.length == 0 ? 1 : Math.max(1, slow[slow.length / 2]);
+        usual = slow.length == 0 ? 1 : Math.max(1, slow[slow.length / 2]);
+        return usual;
     }
 
     private Duration overdueAfter(Duration now, Vertical v) {
