--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -129,7 +129,6 @@
             node.probing = false;
         }
         node.readiness = readiness;
-        node.leftAt = readiness == Readiness.READY ? null : now;
         node.startedAt = startedAt;
         node.size = size;
     }
@@ -365,23 +364,21 @@
     }
 
     private void fill(Duration now) {
-        Set<Query> candidates = new HashSet<>(open.subList(0, Math.min(open.size(), CANDIDATES)));
+        List<Query> candidates = new ArrayList<>(open.subList(0, Math.min(open.size(), CANDIDATES)));
         // A lost call holds no slot: else links that swallow calls would fill the window.
         int lost = open.stream()
                 .mapToInt(q -> q.count(part -> !part.out.isEmpty() && !counted(now, part))).sum();
         while (inFlight - lost < window && !candidates.isEmpty()) {
             Query best = null;
             int bestValue = 0;
-            for (Query q : open.subList(0, Math.min(open.size(), CANDIDATES))) {
-                if (candidates.contains(q)) {
-                    int value = q.alpha() - delta(now, q);
-                    if (best == null || value < bestValue || value == bestValue && before(now, q, best)) {
-                        best = q;
-                        bestValue = value;
-                    }
+            for (Query q : candidates) {
+                int value = q.alpha() - delta(now, q);
+                if (best == null || value < bestValue || value == bestValue && before(now, q, best)) {
+                    best = q;
+                    bestValue = value;
                 }
             }
-            boolean room = !worthLittle(now, best) || !best.untouched()
+            boolean room = !best.untouched() || !worthLittle(now, best)
                     || inFlight - lost < window * LITTLE_WINDOW;
             if (!room || !sendNext(now, best, bestValue)) {
                 candidates.remove(best);
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -11,8 +11,6 @@
     /** Size beside other nodes'; 1 where not stated. */
     public double size = 1;
     public Readiness readiness = Readiness.READY;
-    /** When the list said that it drains or is gone; null while it is ready. */
-    public Duration leftAt;
     /** When it last started; null: not known, or long ago. */
     public Duration startedAt;
     /** The leaf calls without an outcome yet, oldest first. */
