--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -667,8 +667,10 @@
                 || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
     }
 
+    /** Its node has answered nothing for as long; what came beside it in the same call need not tell of it. */
     private boolean silent(Duration now, LeafCall call) {
-        return overdue(now, call) && (call.node.avoidUntil != null || !call.node.answeredSince(call.sentAt));
+        return overdue(now, call) && (call.node.avoidUntil != null
+                || !call.node.answeredSince(now.minus(overdueAfter(now, call.part.query.vertical))));
     }
 
     /** Silent, or overtaken: the node has answered a call sent later. One that only waits is not lost. */
