The window's floor is this router's share of three parts a node; one halving a window

Cause: the floor of one part a node was meant for three routers; 88 routers with a floor of 288 held nothing back, and 15,000 parts in 5 s were rejected.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -23,6 +23,8 @@
     /** Parts: the window at the start, as the design page has it, and the least it falls to. */
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
+    /** Parts: what all routers together may have out at each node, even with the narrowest windows. */
+    private static final double PARTS_A_NODE = 3;
     /** Share of the SLO time from which a part is late, and parts it narrows the window by. */
     private static final double LATE_SHARE = 0.25;
     private static final int LATE_STEP = 4;
@@ -93,6 +95,7 @@
     private final ColdPacing cold;
     private final List<Query> open = new ArrayList<>();
     private double window = WINDOW_START;
+    private Duration halvedAt;
     private int inFlight;
     private boolean waking;
     private Duration usualAt;
@@ -172,8 +175,11 @@
                 || part.mayHaveRunSince.compareTo(call.sentAt) > 0)) {
             part.mayHaveRunSince = call.sentAt;
         }
-        // A node that is left alone already has narrowed the window once: rejecting fast, it would close it.
-        if (outcome == Outcome.FULL && call.node.avoidUntil == null) {
+        // What was sent before the window was halved tells nothing of the halved one: else one query that
+        // meets a few full nodes, or a node that rejects fast, would close it.
+        if (outcome == Outcome.FULL && call.node.avoidUntil == null
+                && (halvedAt == null || call.sentAt.compareTo(halvedAt) > 0)) {
+            halvedAt = now;
             window = Math.max(leastWindow(), window / 2);
         }
         learn(now, call, outcome, took);
@@ -362,9 +368,9 @@
         return false;
     }
 
-    /** One part a node: less would leave nodes idle while queries wait. */
-    private int leastWindow() {
-        return Math.max(WINDOW_LEAST, fleet.nodes().size());
+    /** This router's share of a few parts a node: less would leave nodes idle while queries wait. */
+    private double leastWindow() {
+        return Math.max(WINDOW_LEAST, held.share(PARTS_A_NODE * fleet.nodes().size()));
     }
 
     private void fill(Duration now) {
@@ -803,6 +809,10 @@
             this.longestComeBack = longestComeBack;
         }
 
+        double share(double ofAllRouters) {
+            return ofAllRouters / routers;
+        }
+
         boolean crowded(int count) {
             return most != null && count > CROWDED_SHARE * most;
         }
