A call is overdue from 0.6 of the SLO time at most, not 0.35

Where all nodes slow, the usual time passes 0.35 of the SLO time and every call was overdue, recalled and run twice.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -42,7 +42,7 @@
     private static final double STUCK_SHARE = 0.5;
     /** Shares of the SLO time between which a leaf call becomes overdue: room is left for a second try. */
     private static final double OVERDUE_LEAST = 0.15;
-    private static final double OVERDUE_MOST = 0.35;
+    private static final double OVERDUE_MOST = 0.6;
     /** Times the usual time: past this a leaf call is no longer just unlucky. */
     private static final double OVERDUE_TIMES = 2.5;
     /** Share of the SLO time for which a part's last leaf call rests after a failure: a full node clears some. */
