Nothing is overdue where the usual time leaves no room for a second try

Cause: in an overload of all nodes the recall of a call at 0.6 of the SLO time only runs the part twice.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -668,7 +668,7 @@
         Duration usual = times(quiet(v), OVERDUE_TIMES * usualSlowness(now));
         Duration least = times(v.sloTime, OVERDUE_LEAST);
         Duration most = times(v.sloTime, OVERDUE_MOST);
-        return usual.compareTo(least) < 0 ? least : usual.compareTo(most) > 0 ? most : usual;
+        return usual.compareTo(least) < 0 ? least : usual.compareTo(most) > 0 ? v.sloTime : usual;
     }
 
     /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
