A cold node is open to a router by lot where its share is less than a part

Cause: with 38 to 110 routers an even share of a cold node's budget is less than a part, so no router sent anything for 15 to 20 s; a release took half of the fleet out.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -70,6 +70,10 @@
     private static final double WARM_WORK = 2.0;
     /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
     private static final double COLD_SAFETY = 0.9;
+    /** Share of the budget that all routers may use together by lot, on the mean: the rest is for chance. */
+    private static final double COLD_LOT = 0.5;
+    /** Calls that a cold node's budget holds at least where routers are open to it by lot. */
+    private static final double COLD_CALLS = 8;
     /** Share of the limit on held queries and parts from which the router is crowded. */
     private static final double CROWDED_SHARE = 0.7;
     /** How long a customer's queries are counted against its share, and how many it may be ahead. */
@@ -119,6 +123,7 @@
         boolean fresh = node.workSent == null;
         if (fresh) {
             node.workSent = cold.ring();
+            node.lot = chance.nextDouble();
             node.answers = new TimeRing(HEALTH_MEMORY, BUCKETS);
             node.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
         }
@@ -444,7 +449,7 @@
         if (!part.calls.isEmpty()) {
             further.sent(now);
         }
-        node.workSent.add(now, seconds(cold.work(part, quiet(part.query.vertical))));
+        cold.sent(now, node, cold.work(part, quiet(part.query.vertical)));
         LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
         inFlight++;
         host.send(call);
@@ -549,7 +554,7 @@
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
             Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY || !cold.allows(now, node, work)) {
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, work, fleet)) {
                 continue;
             }
             int rank = suspect(now, node, part.query.vertical) ? 2 : 0;
@@ -766,19 +771,46 @@
         }
     }
 
-    /** This router's own share of what a cold node may be sent in any window of the rule. */
-    public record ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
-            Duration callCost) {
+    /**
+     * This router's own share of what a cold node may be sent in any window of the rule. Where that is less than
+     * a part, lots are drawn: a router is open to the node with the chance that brings the mean of what it would
+     * usually send there, were the node alone with its shards, down to its share; so the means of all routers
+     * add up to no more than the budget, however many they are.
+     */
+    public static final class ColdPacing {
+        private final double from;
+        private final Duration ramp;
+        private final Double multiple;
+        private final Duration span;
+        private final int routers;
+        private final Duration callCost;
+        private final TimeRing allSent = new TimeRing(SHARE_SPAN, BUCKETS);
+
+        public ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
+                Duration callCost) {
+            this.from = from == null ? 0 : from;
+            this.ramp = ramp;
+            this.multiple = multiple;
+            this.span = span;
+            this.routers = routers == null ? 1 : Math.max(1, routers);
+            this.callCost = callCost == null ? Duration.ZERO : callCost;
+        }
+
         TimeRing ring() {
             return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
         }
 
         Duration work(Part part, Duration quiet) {
-            return part.work == null ? quiet : part.work.plus(callCost == null ? Duration.ZERO : callCost);
+            return part.work == null ? quiet : part.work.plus(callCost);
+        }
+
+        void sent(Duration now, DataNode node, Duration work) {
+            node.workSent.add(now, seconds(work));
+            allSent.add(now, seconds(work));
         }
 
         /** Capacity is taken as it was when the window began, so every window is within its budget. */
-        boolean allows(Duration now, DataNode node, Duration work) {
+        boolean allows(Duration now, DataNode node, Duration work, Fleet fleet) {
             if (span == null || ramp == null || multiple == null || node.startedAt == null) {
                 return true;
             }
@@ -787,9 +819,16 @@
                 return true;
             }
             double risen = Math.max(0, seconds(age.minus(span)) / seconds(ramp));
-            double capacity = ((from == null ? 0 : from) * (1 - risen) + risen) * WARM_WORK;
-            double mine = COLD_SAFETY * multiple / (routers == null ? 1 : routers);
-            return node.workSent.atLeast(now, span) + seconds(work) <= mine * capacity * seconds(span);
+            double rate = multiple * (from * (1 - risen) + risen) * WARM_WORK;
+            double sent = node.workSent.atLeast(now, span);
+            double after = sent + seconds(work);
+            if (after <= COLD_SAFETY * rate * seconds(span) / routers) {
+                return true;
+            }
+            double measured = Math.min(seconds(SHARE_SPAN), Math.max(1, seconds(now)));
+            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * fleet.reach / fleet.nodes().size();
+            return routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
+                    && node.lot * usual * routers < COLD_LOT * rate;
         }
     }
 
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -18,6 +18,8 @@
 
     /** What it was lately sent, in seconds of work; set up by the one who measures. */
     public TimeRing workSent;
+    /** Drawn from 0 to 1 when it was first listed; set up by the one who measures. */
+    public double lot;
     /** Its answers and failures lately; set up by the one who measures. */
     public TimeRing answers;
     public TimeRing failures;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -14,6 +14,7 @@
 import postbeam.state.Customer;
 import postbeam.state.DataNode;
 import postbeam.state.Effect;
+import postbeam.state.Fleet;
 import postbeam.state.LeafCall;
 import postbeam.state.Outcome;
 import postbeam.state.Query;
@@ -226,10 +227,10 @@
         DataNode node = new DataNode(0, true);
         node.workSent = cold.ring();
         node.startedAt = ms(0);
-        assertTrue(cold.allows(ms(10), node, ms(150)));
+        assertTrue(cold.allows(ms(10), node, ms(150), new Fleet(1, 1)));
         node.workSent.add(ms(10), 0.3);
-        assertFalse(cold.allows(ms(900), node, ms(150)));
-        assertTrue(cold.allows(ms(11_000), node, ms(5000)));
+        assertFalse(cold.allows(ms(900), node, ms(150), new Fleet(1, 1)));
+        assertTrue(cold.allows(ms(11_000), node, ms(5000), new Fleet(1, 1)));
     }
 
     @Test
