A query that can't be sent in time through the window as it is comes last

Cause: through a narrow window a query of 52 or 100 parts trickles for seconds and is late, its work wasted.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -280,8 +280,9 @@
 
     /** Its SLO time, counted from then, is over, or what is still to be sent can't be in by its end. */
     private boolean tooLate(Duration now, Query q, Duration from) {
-        Duration usual = times(quiet(q.vertical), usualSlowness(now));
-        return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
+        int unsent = Math.max(0, q.alpha() - q.out());
+        Duration usual = times(quiet(q.vertical), usualSlowness(now) * (1 + unsent / window));
+        return now.plus(unsent > 0 ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
     }
 
     /** Parts are needed that have no leaf call out. */
