--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -257,7 +257,7 @@
         } else if (possible + ROUNDING < q.needed()
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)) {
             giveUp(now, q);
-        } else if (tooLate(now, q, q.arrivedAt) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
+        } else if (tooLate(now, q, q.arrivedAt, 1) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
             // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
@@ -278,11 +278,10 @@
                 && now.plus(LAST_WORD).compareTo(q.sloAt()) >= 0;
     }
 
-    /** Its SLO time, counted from then, is over, or what is still to be sent can't be in by its end. */
-    private boolean tooLate(Duration now, Query q, Duration from) {
-        int unsent = Math.max(0, q.alpha() - q.out());
-        Duration usual = times(quiet(q.vertical), usualSlowness(now) * (1 + unsent / window));
-        return now.plus(unsent > 0 ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
+    /** Its SLO time, counted from then, is over, or so many usual times for what is unsent last past its end. */
+    private boolean tooLate(Duration now, Query q, Duration from, double rounds) {
+        Duration usual = times(quiet(q.vertical), usualSlowness(now) * rounds);
+        return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
     }
 
     /** Parts are needed that have no leaf call out. */
@@ -290,9 +289,12 @@
         return q.alpha() > q.out();
     }
 
-    /** A short limit may also be an impatient client's: so it only comes last, and is not given up for it. */
+    /**
+     * A short limit may also be an impatient client's, and a narrow window grows in use: so these only come
+     * last, and are not given up for it.
+     */
     private boolean worthLittle(Duration now, Query q) {
-        return q.overShare || tooLate(now, q, q.askedAt) || q.untouched() && !placeable(now, q);
+        return q.overShare || tooLate(now, q, q.askedAt, 1 + q.alpha() / window) || q.untouched() && !placeable(now, q);
     }
 
     /**
