A late part narrows the window by two parts, not four

A step of 4 beside a growth of 1 led to the floor at a fifth of late parts; at size the floor is low.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -27,7 +27,7 @@
     private static final double PARTS_A_NODE = 2;
     /** Share of the SLO time from which a part is late, and parts it narrows the window by. */
     private static final double LATE_SHARE = 0.25;
-    private static final int LATE_STEP = 4;
+    private static final int LATE_STEP = 2;
     /** Shares of the SLO time within which a query is begun or rejected: usually, and if worth little. */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
