--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -24,7 +24,7 @@
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
     /** Parts: what all routers together may have out at each node, even with the narrowest windows. */
-    private static final double PARTS_A_NODE = 2;
+    private static final double PARTS_A_NODE = 3;
     /** Share of the SLO time from which a part is late, and parts it narrows the window by. */
     private static final double LATE_SHARE = 0.25;
     private static final int LATE_STEP = 2;
