What can't be answered before its client leaves is not begun

Cause: clients come with 0.6 s left, again and again; 18 parts are begun for each and none is in time. Told from sick nodes: all nodes alike, calls answered in 350 ms; from a loud customer: all customers, each with the same short limit.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -24,7 +24,7 @@
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
     /** Parts: what all routers together may have out at each node, even with the narrowest windows. */
-    private static final double PARTS_A_NODE = 3;
+    private static final double PARTS_A_NODE = 2.5;
     /** Share of the SLO time from which a part is late, and parts it narrows the window by. */
     private static final double LATE_SHARE = 0.25;
     private static final int LATE_STEP = 2;
@@ -34,6 +34,8 @@
     /** Shares of the window: to which a query worth little is begun, and from which the window is in use. */
     private static final double LITTLE_WINDOW = 0.6;
     private static final double IN_USE_SHARE = 0.6;
+    /** Times the usual time that the slowest of many parts takes, and no less. */
+    private static final double SLOWEST_TIMES = 2.5;
     /** Oldest open queries that compete for slots: more than any limit on held ones allows, and it bounds a turn. */
     private static final int CANDIDATES = 48;
     /** Share of parts in flight that may be spares, as the design page has it. */
@@ -261,10 +263,8 @@
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
             // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
-        } else if (q.untouched()
-                && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime, START_SHARE_LITTLE)) > 0
-                && now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime, worthLittle(now, q)
-                        ? START_SHARE_LITTLE : START_SHARE)) > 0) {
+        } else if (q.untouched() && (hopeless(now, q) || now.minus(q.arrivedAt).compareTo(
+                times(q.vertical.sloTime, worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0)) {
             // Guards against overload of any cause: what can't begin soon is told so while the client can
             // still act.
             giveUp(now, q);
@@ -284,6 +284,17 @@
         return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
     }
 
+    /**
+     * Its client will have left before the usual time is over, for the slowest of its parts about twice that.
+     * Guards against clients that come with little time, over and over. While nothing else is out it is tried:
+     * what was learnt may be out of date.
+     */
+    private boolean hopeless(Duration now, Query q) {
+        double slowest = q.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
+        return inFlight > 0 && q.vertical.quietTime != null && q.deadline.minus(LAST_WORD).minus(now)
+                .compareTo(times(quiet(q.vertical), usualSlowness(now) * slowest)) < 0;
+    }
+
     /** Parts are needed that have no leaf call out. */
     private boolean missing(Query q) {
         return q.alpha() > q.out();
