--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -291,7 +291,7 @@
      */
     private boolean hopeless(Duration now, Query q) {
         double slowest = q.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
-        return inFlight > 0 && q.vertical.quietTime != null && q.deadline.minus(LAST_WORD).minus(now)
+        return inFlight > 0 && q.vertical.quietTime != null && min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now)
                 .compareTo(times(quiet(q.vertical), usualSlowness(now) * slowest)) < 0;
     }
 
@@ -737,6 +737,10 @@
         return alone && rested && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
     }
 
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
     private static Duration times(Duration span, double factor) {
         return Duration.ofNanos(Math.round(span.toNanos() * factor));
     }
