--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -56,6 +56,9 @@
     /** Share of failures among a node's outcomes from which it is avoided, and the fewest that say so. */
     private static final double FAILING_SHARE = 0.3;
     private static final int FAILURES_LEAST = 2;
+    /** The same for a zone, whose nodes fail together only if the way there does. */
+    private static final double ZONE_FAILING_SHARE = 0.5;
+    private static final int ZONE_FAILURES_LEAST = 4;
     /** First and longest time for which a failing node is left alone; doubled by each strike. */
     private static final Duration AVOID_FIRST = Duration.ofMillis(500);
     private static final Duration AVOID_LONGEST = Duration.ofSeconds(4);
@@ -100,6 +103,7 @@
     private final FurtherCalls further;
     private final ColdPacing cold;
     private final List<Query> open = new ArrayList<>();
+    private final List<Zone> zones = new ArrayList<>();
     private double window = WINDOW_START;
     private Duration halvedAt;
     private int inFlight;
@@ -126,6 +130,11 @@
         if (fresh) {
             node.workSent = cold.ring();
             node.lot = chance.nextDouble();
+            if (node.zone.calls == null) {
+                node.zone.calls = new TimeRing(HEALTH_MEMORY, BUCKETS);
+                node.zone.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
+                zones.add(node.zone);
+            }
             node.answers = new TimeRing(HEALTH_MEMORY, BUCKETS);
             node.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
         }
@@ -465,6 +474,9 @@
         }
         cold.sent(now, node, cold.work(part, quiet(part.query.vertical)));
         LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
+        if (node.zone.strikes > 0 && !shunned(now, node.zone)) {
+            node.zone.trial = call;
+        }
         inFlight++;
         host.send(call);
     }
@@ -519,7 +531,7 @@
      */
     private List<DataNode> replicas(Part part) {
         List<DataNode> replicas = fleet.replicas(part.shard);
-        replicas.sort(Comparator.comparingInt(n -> (n.sameZone ? 0 : fleet.reach) + n.cell % fleet.reach));
+        replicas.sort(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach) + n.cell % fleet.reach));
         return replicas;
     }
 
@@ -543,7 +555,7 @@
                 List<DataNode> replicas = replicas(part);
                 if (!replicas.isEmpty()) {
                     DataNode node = replicas.get(offset % replicas.size());
-                    cost += node.sameZone ? 0 : 0.01;
+                    cost += node.zone.ours ? 0 : 0.01;
                     if (nodes.add(node)) {
                         cost += node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0);
                     }
@@ -593,7 +605,7 @@
      * when all nodes are slow alike, so slowness is measured against the middle node.
      */
     private boolean suspect(Duration now, DataNode node, Vertical v) {
-        if (node.avoidUntil != null || node.strikes > 0 && !node.out.isEmpty()) {
+        if (node.avoidUntil != null || node.strikes > 0 && !node.out.isEmpty() || shunned(now, node.zone)) {
             return true;
         }
         LeafCall oldest = node.oldestOut();
@@ -631,6 +643,7 @@
         boolean silent = (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED)
                 && took.compareTo(overdueAfter(now, v)) > 0 && !node.answeredSince(call.sentAt);
         boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET || silent;
+        learnZone(now, call, broken || took.compareTo(overdueAfter(now, v)) > 0);
         if (broken || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             node.failures.add(now, 1);
             double failed = node.failures.atLeast(now, HEALTH_MEMORY);
@@ -641,6 +654,39 @@
         }
     }
 
+    /**
+     * Guards against a way to a whole zone that is cut, slow or lossy, for us alone or for all: a router meets
+     * each node so seldom that their own records tell nothing in time. Its calls of a few seconds count together,
+     * one for each node and turn; where most failed, one call at a time shows whether it is sound again. It also
+     * catches a zone without power. It could hurt where the nodes that a query meets fail for reasons of their
+     * own; so it asks for several, and a zone is shunned only while another is not.
+     */
+    private void learnZone(Duration now, LeafCall call, boolean failed) {
+        Zone zone = call.node.zone;
+        if (call == zone.trial && !failed) {
+            zone.strikes = 0;
+            zone.avoidUntil = null;
+        }
+        if (call.sentAt.equals(call.node.countedSentAt)) {
+            return;
+        }
+        call.node.countedSentAt = call.sentAt;
+        zone.calls.add(now, 1);
+        zone.failures.add(now, failed ? 1 : 0);
+        double failures = zone.failures.atLeast(now, HEALTH_MEMORY);
+        if (failed && (call == zone.trial || failures >= ZONE_FAILURES_LEAST
+                && failures >= ZONE_FAILING_SHARE * zone.calls.atLeast(now, HEALTH_MEMORY))
+                && (zone.avoidUntil == null || now.compareTo(zone.avoidUntil) >= 0)) {
+            zone.avoidUntil = now.plus(min(AVOID_LONGEST, AVOID_FIRST.multipliedBy(1L << Math.min(zone.strikes, 10))));
+            zone.strikes++;
+        }
+    }
+
+    private boolean shunned(Duration now, Zone zone) {
+        return zone.strikes > 0 && (now.compareTo(zone.avoidUntil) < 0 || zone.trial != null && !zone.trial.ended)
+                && zones.stream().anyMatch(other -> other.strikes == 0);
+    }
+
     /** Leaves a node alone for a while, longer each time; what happens in that while adds nothing. */
     private static void strike(Duration now, DataNode node) {
         if (node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0) {
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -20,6 +20,7 @@
 import postbeam.state.Query;
 import postbeam.state.Readiness;
 import postbeam.state.Vertical;
+import postbeam.state.Zone;
 
 /** One instance at the door: turns ids into objects and back, and writes what its Decide has done. */
 final class Instance implements Host {
@@ -34,6 +35,7 @@
     private final Map<String, Vertical> verticals = new LinkedHashMap<>();
     private final Map<String, Customer> customers = new LinkedHashMap<>();
     private final Map<String, DataNode> nodes = new LinkedHashMap<>();
+    private final Map<String, Zone> zones = new LinkedHashMap<>();
     private final Map<DataNode, String> addresses = new IdentityHashMap<>();
     private final Map<String, Query> queries = new HashMap<>();
     private final Map<Long, Query> byNumber = new HashMap<>();
@@ -111,7 +113,8 @@
                 if (entry.readiness() == Readiness.GONE) {
                     continue;
                 }
-                node = new DataNode(entry.cell(), entry.zone() != null && entry.zone().equals(zone));
+                node = new DataNode(entry.cell(), zones.computeIfAbsent(String.valueOf(entry.zone()),
+                        name -> new Zone(name.equals(zone))));
                 nodes.put(entry.address(), node);
                 addresses.put(node, entry.address());
             }
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -7,7 +7,7 @@
 /** A data node as this router knows it. */
 public final class DataNode {
     public final int cell;
-    public final boolean sameZone;
+    public final Zone zone;
     /** Size beside other nodes'; 1 where not stated. */
     public double size = 1;
     public Readiness readiness = Readiness.READY;
@@ -28,6 +28,8 @@
     public Duration lastAnswerAt;
     /** When the last sent of its answered calls was sent. */
     public Duration answeredSentAt;
+    /** When the last call was sent that its zone has counted. */
+    public Duration countedSentAt;
     /** A probe is out. */
     public boolean probing;
     /** Left alone at least until this time while another will do; null: no reason. */
@@ -35,9 +37,9 @@
     /** Failures in a row that led to avoiding it. */
     public int strikes;
 
-    public DataNode(int cell, boolean sameZone) {
+    public DataNode(int cell, Zone zone) {
         this.cell = cell;
-        this.sameZone = sameZone;
+        this.zone = zone;
     }
 
     /** Calls out, where parts sent in one turn count as one. */
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -20,6 +20,7 @@
 import postbeam.state.Query;
 import postbeam.state.Readiness;
 import postbeam.state.Vertical;
+import postbeam.state.Zone;
 
 class DecideTest {
     private final Given given = new Given(3, true);
@@ -224,7 +225,7 @@
     @Test
     void aColdNodeGetsNoMoreThanThisRoutersShareOfEveryWindow() {
         var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 2, ms(20));
-        DataNode node = new DataNode(0, true);
+        DataNode node = new DataNode(0, new Zone(true));
         node.workSent = cold.ring();
         node.startedAt = ms(0);
         assertTrue(cold.allows(ms(10), node, ms(150), new Fleet(1, 1)));
--- a/src/test/java/postbeam/Given.java
+++ b/src/test/java/postbeam/Given.java
@@ -12,6 +12,7 @@
 import postbeam.state.Query;
 import postbeam.state.Readiness;
 import postbeam.state.Vertical;
+import postbeam.state.Zone;
 
 /** A router with a few sound nodes, each holding every shard, and a host that remembers what it was told. */
 final class Given implements Host {
@@ -23,6 +24,7 @@
     final List<String> ended = new ArrayList<>();
     final List<DataNode> nodes = new ArrayList<>();
     final List<DataNode> probed = new ArrayList<>();
+    final Zone zone = new Zone(true);
     final Decide decide;
 
     Given(int nodeCount, boolean mayDuplicate) {
@@ -30,7 +32,7 @@
                 new Decide.Calls(3, mayDuplicate, true, true), new Decide.FurtherCalls(null, null, null),
                 new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 1, ms(20)));
         for (int i = 0; i < nodeCount; i++) {
-            nodes.add(new DataNode(0, true));
+            nodes.add(new DataNode(0, zone));
             decide.nodeListed(ms(0), nodes.get(i), Readiness.READY, null, 1);
         }
     }
