--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -47,8 +47,6 @@
     private static final double OVERDUE_MOST = 0.6;
     /** Times the usual time: past this a leaf call is no longer just unlucky. */
     private static final double OVERDUE_TIMES = 2.5;
-    /** Share of the SLO time for which a part's last leaf call rests after a failure: a full node clears some. */
-    private static final double LAST_CALL_REST = 0.1;
     /** Times the middle node's slowness, from which a node is held to be slow. */
     private static final double SLOW_TIMES = 3;
     /** How long a slow or failing node is remembered without a new answer; a few queries' worth. */
@@ -211,8 +209,6 @@
             cancelAll(part);
         } else if (outcome == Outcome.NEVER_SENT || partOver) {
             part.closed = true;
-        } else {
-            part.failedAt = now;
         }
     }
 
@@ -777,10 +773,7 @@
         boolean alone = part.out.isEmpty()
                 || part.query.vertical.effect == Effect.REPEATABLE && calls.mayDuplicate
                 && part.out.size() < 2;
-        // Guards against spending every leaf call of a part within a few turns on nodes that reject at once.
-        boolean rested = part.calls.size() < calls.most - 1 || part.failedAt == null
-                || now.minus(part.failedAt).compareTo(times(part.query.vertical.sloTime, LAST_CALL_REST)) >= 0;
-        return alone && rested && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
+        return alone && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
     }
 
     private static Duration min(Duration a, Duration b) {
--- a/src/main/java/postbeam/state/Part.java
+++ b/src/main/java/postbeam/state/Part.java
@@ -17,8 +17,6 @@
     public boolean merged;
     /** No further leaf call is taken for it. */
     public boolean closed;
-    /** When a leaf call last ended without being merged; null while none has. */
-    public Duration failedAt;
     /** When the first leaf call that may have run was sent; null while none may. */
     public Duration mayHaveRunSince;
 
