--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -57,6 +57,8 @@
     /** The same for a zone, whose nodes fail together only if the way there does. */
     private static final double ZONE_FAILING_SHARE = 0.5;
     private static final int ZONE_FAILURES_LEAST = 4;
+    /** How often a node counts among its zone's: in a small zone a few bad ones are no bad zone. */
+    private static final Duration ZONE_COUNTS = Duration.ofSeconds(2);
     /** First and longest time for which a failing node is left alone; doubled by each strike. */
     private static final Duration AVOID_FIRST = Duration.ofMillis(500);
     private static final Duration AVOID_LONGEST = Duration.ofSeconds(4);
@@ -653,7 +655,7 @@
     /**
      * Guards against a way to a whole zone that is cut, slow or lossy, for us alone or for all: a router meets
      * each node so seldom that their own records tell nothing in time. Its calls of a few seconds count together,
-     * one for each node and turn; where most failed, one call at a time shows whether it is sound again. It also
+     * each node once a while; where most failed, one call at a time shows whether it is sound again. It also
      * catches a zone without power. It could hurt where the nodes that a query meets fail for reasons of their
      * own; so it asks for several, and a zone is shunned only while another is not.
      */
@@ -663,10 +665,10 @@
             zone.strikes = 0;
             zone.avoidUntil = null;
         }
-        if (call.sentAt.equals(call.node.countedSentAt)) {
+        if (call.node.countedAt != null && now.minus(call.node.countedAt).compareTo(ZONE_COUNTS) < 0) {
             return;
         }
-        call.node.countedSentAt = call.sentAt;
+        call.node.countedAt = now;
         zone.calls.add(now, 1);
         zone.failures.add(now, failed ? 1 : 0);
         double failures = zone.failures.atLeast(now, HEALTH_MEMORY);
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -28,8 +28,8 @@
     public Duration lastAnswerAt;
     /** When the last sent of its answered calls was sent. */
     public Duration answeredSentAt;
-    /** When the last call was sent that its zone has counted. */
-    public Duration countedSentAt;
+    /** When its zone last counted it. */
+    public Duration countedAt;
     /** A probe is out. */
     public boolean probing;
     /** Left alone at least until this time while another will do; null: no reason. */
--- a/src/main/java/postbeam/state/Zone.java
+++ b/src/main/java/postbeam/state/Zone.java
@@ -6,7 +6,7 @@
 public final class Zone {
     /** This router's own. */
     public final boolean ours;
-    /** Its calls lately, one for each node and turn, and those of them that failed; set up by the one who measures. */
+    /** Its calls lately, each node once a while, and those of them that failed; set up by the one who measures. */
     public TimeRing calls;
     public TimeRing failures;
     /** Left alone at least until this time while another will do; null: no reason. */
