Facts of the fleet kept in indexes; the majority vote on clients' last tries goes

No turn passes over the fleet any more: holders in order, nodes by last answer and nodes left alone are kept as they change.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -1,13 +1,7 @@
 package postbeam;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Random;
-import java.util.Set;
+import java.util.*;
 import postbeam.state.*;
 
 /**
@@ -103,7 +97,8 @@
     private final FurtherCalls further;
     private final ColdPacing cold;
     private final List<Query> open = new ArrayList<>();
-    private final List<Zone> zones = new ArrayList<>();
+    private final Set<Zone> zones = new LinkedHashSet<>();
+    private final Set<DataNode> resting = new LinkedHashSet<>();
     private double window = WINDOW_START;
     private Duration halvedAt;
     private int inFlight;
@@ -120,6 +115,9 @@
         this.calls = calls;
         this.further = further;
         this.cold = cold;
+        // Replica lists begin with our zone and then go by place within a shard's reach: so one offset leads
+        // neighbouring shards to the same nodes, and their parts share calls, which have a cost.
+        fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach) + n.cell % fleet.reach));
     }
 
     // ---- what can happen
@@ -130,13 +128,13 @@
         if (fresh) {
             node.workSent = cold.ring();
             node.lot = chance.nextDouble();
-            if (node.zone.calls == null) {
-                node.zone.calls = new TimeRing(HEALTH_MEMORY, BUCKETS);
-                node.zone.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
-                zones.add(node.zone);
+            zones.add(node.zone);
+            for (Health health : List.of(node, node.zone)) {
+                if (health.answers == null) {
+                    health.answers = new TimeRing(HEALTH_MEMORY, BUCKETS);
+                    health.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
+                }
             }
-            node.answers = new TimeRing(HEALTH_MEMORY, BUCKETS);
-            node.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
         }
         if (readiness == Readiness.GONE) {
             fleet.remove(node);
@@ -156,28 +154,10 @@
 
     public void queryArrived(Duration now, Query q, boolean repeated) {
         open.add(q);
-        q.askedAt = firstAskedAt(now, q);
         further.took(now);
         q.overShare = held.beyondShare(now, q.customer);
     }
 
-    /**
-     * Guards against spending the fleet on clients' last tries, whose SLO time may be over: these have all of
-     * the time left, where others have the same limit each time. The usual limit is found by
-     * majority vote; while it is not, a few first tries may be taken for last ones.
-     */
-    static Duration firstAskedAt(Duration now, Query q) {
-        Vertical v = q.vertical;
-        Duration left = q.deadline.minus(now);
-        if (v.votes == 0) {
-            v.usualLeft = left;
-        }
-        boolean usual = left.minus(v.usualLeft).abs().compareTo(LOOK) < 0;
-        v.votes += usual ? 1 : -1;
-        boolean last = !usual && v.deadline != null && v.deadline.compareTo(left) >= 0;
-        return last ? now.minus(v.deadline).plus(left) : now;
-    }
-
     public void partArrived(Duration now, Part part) {
         further.took(now);
     }
@@ -205,7 +185,7 @@
             // narrow it where the middle node is slow too, and it grows only while it is in use.
             Duration limit = times(q.vertical.sloTime, LATE_SHARE);
             boolean late = took.compareTo(limit) > 0
-                    && times(quiet(q.vertical), 2 * usualSlowness(now)).compareTo(limit) > 0;
+                    && usualTime(now, q.vertical, 2).compareTo(limit) > 0;
             window = Math.max(leastWindow(), late ? window - LATE_STEP
                     : inFlight + 1 >= window * IN_USE_SHARE ? window + 1 : window);
             cancelAll(part);
@@ -266,7 +246,7 @@
         } else if (possible + ROUNDING < q.needed()
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)) {
             giveUp(now, q);
-        } else if (tooLate(now, q, q.arrivedAt, 1) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
+        } else if (tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
             // What is out and only late may still come: throwing it away would feed an overload.
             giveUp(now, q);
@@ -285,10 +265,9 @@
                 && now.plus(LAST_WORD).compareTo(q.sloAt()) >= 0;
     }
 
-    /** Its SLO time, counted from then, is over, or so many usual times for what is unsent last past its end. */
-    private boolean tooLate(Duration now, Query q, Duration from, double rounds) {
-        Duration usual = times(quiet(q.vertical), usualSlowness(now) * rounds);
-        return now.plus(missing(q) ? usual : Duration.ZERO).compareTo(from.plus(q.vertical.sloTime)) >= 0;
+    /** Its SLO time is over, or so many usual times for what is unsent last past its end. */
+    private boolean tooLate(Duration now, Query q, double rounds) {
+        return now.plus(missing(q) ? usualTime(now, q.vertical, rounds) : Duration.ZERO).compareTo(q.sloAt()) >= 0;
     }
 
     /**
@@ -299,7 +278,7 @@
     private boolean hopeless(Duration now, Query q) {
         double slowest = q.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
         return inFlight > 0 && q.vertical.quietTime != null && min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now)
-                .compareTo(times(quiet(q.vertical), usualSlowness(now) * slowest)) < 0;
+                .compareTo(usualTime(now, q.vertical, slowest)) < 0;
     }
 
     /** Parts are needed that have no leaf call out. */
@@ -312,7 +291,7 @@
      * last, and are not given up for it.
      */
     private boolean worthLittle(Duration now, Query q) {
-        return q.overShare || tooLate(now, q, q.askedAt, 1 + q.alpha() / window) || q.untouched() && !placeable(now, q);
+        return q.overShare || tooLate(now, q, 1 + q.alpha() / window) || q.untouched() && !placeable(now, q);
     }
 
     /**
@@ -396,7 +375,7 @@
 
     /** This router's share of a few parts a node: less would leave nodes idle while queries wait. */
     private double leastWindow() {
-        return Math.max(WINDOW_LEAST, held.share(PARTS_A_NODE * fleet.nodes().size()));
+        return Math.max(WINDOW_LEAST, held.share(PARTS_A_NODE * fleet.size()));
     }
 
     private void fill(Duration now) {
@@ -523,16 +502,6 @@
 
     // ---- which replica
 
-    /**
-     * The part's replica list: nodes of our zone first, then by their place within a shard's reach. So one
-     * offset leads neighbouring shards to the same nodes, and their parts share calls, which have a cost.
-     */
-    private List<DataNode> replicas(Part part) {
-        List<DataNode> replicas = fleet.replicas(part.shard);
-        replicas.sort(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach) + n.cell % fleet.reach));
-        return replicas;
-    }
-
     /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
     private void chooseOffset(Duration now, Query q) {
         if (q.offset >= 0) {
@@ -540,7 +509,7 @@
         }
         int most = 1;
         for (Part part : q.parts) {
-            most = Math.max(most, replicas(part).size());
+            most = Math.max(most, fleet.replicas(part.shard).size());
         }
         int first = chance.nextInt(most);
         int best = first;
@@ -550,7 +519,7 @@
             Set<DataNode> nodes = new HashSet<>();
             double cost = 0;
             for (Part part : q.parts) {
-                List<DataNode> replicas = replicas(part);
+                List<DataNode> replicas = fleet.replicas(part.shard);
                 if (!replicas.isEmpty()) {
                     DataNode node = replicas.get(offset % replicas.size());
                     cost += node.zone.ours ? 0 : 0.01;
@@ -572,7 +541,7 @@
      * on suspicion: the least bad is taken. Null where none may take the part now.
      */
     private DataNode chooseNode(Duration now, Part part) {
-        List<DataNode> replicas = replicas(part);
+        List<DataNode> replicas = fleet.replicas(part.shard);
         DataNode best = null;
         int bestRank = Integer.MAX_VALUE;
         for (int i = 0; i < replicas.size(); i++) {
@@ -623,6 +592,7 @@
             double weight = took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE;
             v.quietTime = known.plus(times(took.minus(known), weight));
             node.lastAnswerAt = now;
+            fleet.answered(node);
             if (node.answeredSentAt == null || node.answeredSentAt.compareTo(call.sentAt) < 0) {
                 node.answeredSentAt = call.sentAt;
             }
@@ -644,14 +614,17 @@
         learnZone(now, call, broken || took.compareTo(overdueAfter(now, v)) > 0);
         if (broken || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             node.failures.add(now, 1);
-            double failed = node.failures.atLeast(now, HEALTH_MEMORY);
-            double all = failed + node.answers.atLeast(now, HEALTH_MEMORY);
-            if (broken || failed >= FAILURES_LEAST && failed >= FAILING_SHARE * all) {
+            if (broken || failing(now, node, FAILURES_LEAST, FAILING_SHARE)) {
                 strike(now, node);
             }
         }
     }
 
+    private static boolean failing(Duration now, Health health, int least, double share) {
+        double failed = health.failures.atLeast(now, HEALTH_MEMORY);
+        return failed >= least && failed >= share * (failed + health.answers.atLeast(now, HEALTH_MEMORY));
+    }
+
     /**
      * Guards against a way to a whole zone that is cut, slow or lossy, for us alone or for all: a router meets
      * each node so seldom that their own records tell nothing in time. Its calls of a few seconds count together,
@@ -669,14 +642,9 @@
             return;
         }
         call.node.countedAt = now;
-        zone.calls.add(now, 1);
-        zone.failures.add(now, failed ? 1 : 0);
-        double failures = zone.failures.atLeast(now, HEALTH_MEMORY);
-        if (failed && (call == zone.trial || failures >= ZONE_FAILURES_LEAST
-                && failures >= ZONE_FAILING_SHARE * zone.calls.atLeast(now, HEALTH_MEMORY))
-                && (zone.avoidUntil == null || now.compareTo(zone.avoidUntil) >= 0)) {
-            zone.avoidUntil = now.plus(min(AVOID_LONGEST, AVOID_FIRST.multipliedBy(1L << Math.min(zone.strikes, 10))));
-            zone.strikes++;
+        (failed ? zone.failures : zone.answers).add(now, 1);
+        if (failed && (call == zone.trial || failing(now, zone, ZONE_FAILURES_LEAST, ZONE_FAILING_SHARE))) {
+            strike(now, zone);
         }
     }
 
@@ -685,12 +653,15 @@
                 && zones.stream().anyMatch(other -> other.strikes == 0);
     }
 
-    /** Leaves a node alone for a while, longer each time; what happens in that while adds nothing. */
-    private static void strike(Duration now, DataNode node) {
-        if (node.avoidUntil == null || now.compareTo(node.avoidUntil) >= 0) {
-            Duration rest = AVOID_FIRST.multipliedBy(1L << Math.min(node.strikes, 10));
-            node.avoidUntil = now.plus(rest.compareTo(AVOID_LONGEST) < 0 ? rest : AVOID_LONGEST);
-            node.strikes++;
+    /** Leaves it alone for a while, longer each time; what happens in that while adds nothing. */
+    private void strike(Duration now, Health health) {
+        if (health.avoidUntil == null || now.compareTo(health.avoidUntil) >= 0) {
+            health.avoidUntil = now.plus(min(AVOID_LONGEST,
+                    AVOID_FIRST.multipliedBy(1L << Math.min(health.strikes, 10))));
+            health.strikes++;
+            if (health instanceof DataNode node) {
+                resting.add(node);
+            }
         }
     }
 
@@ -700,8 +671,10 @@
      * shows it.
      */
     private void lookAfter(Duration now) {
-        for (DataNode node : fleet.nodes()) {
-            if (node.avoidUntil != null && now.compareTo(node.avoidUntil) >= 0 && !node.probing) {
+        for (DataNode node : List.copyOf(resting)) {
+            if (node.avoidUntil == null || node.readiness == Readiness.GONE) {
+                resting.remove(node);
+            } else if (now.compareTo(node.avoidUntil) >= 0 && !node.probing) {
                 if (calls.mayProbe && node.readiness == Readiness.READY) {
                     node.probing = true;
                     host.probe(node);
@@ -714,21 +687,19 @@
 
     /** Slowness of the middle node among those that answered lately. */
     private double usualSlowness(Duration now) {
-        if (now.equals(usualAt)) {
-            return usual;
-        }
-        usualAt = now;
-        double[] slow = fleet.nodes().stream()
-                .filter(n -> n.slowness > 0 && n.lastAnswerAt != null
-                        && now.minus(n.lastAnswerAt).compareTo(HEALTH_MEMORY) < 0)
-                .mapToDouble(n -> n.slowness).toArray();
-        Arrays.sort(slow);
-        usual = slow.length == 0 ? 1 : Math.max(1, slow[slow.length / 2]);
+        if (!now.equals(usualAt)) {
+            usualAt = now;
+            usual = Math.max(1, fleet.middleSlowness(now.minus(HEALTH_MEMORY)));
+        }
         return usual;
     }
 
+    private Duration usualTime(Duration now, Vertical v, double factor) {
+        return times(quiet(v), usualSlowness(now) * factor);
+    }
+
     private Duration overdueAfter(Duration now, Vertical v) {
-        Duration usual = times(quiet(v), OVERDUE_TIMES * usualSlowness(now));
+        Duration usual = usualTime(now, v, OVERDUE_TIMES);
         Duration least = times(v.sloTime, OVERDUE_LEAST);
         Duration most = times(v.sloTime, OVERDUE_MOST);
         return usual.compareTo(least) < 0 ? least : usual.compareTo(most) > 0 ? v.sloTime : usual;
@@ -885,7 +856,7 @@
                 return true;
             }
             double measured = Math.min(seconds(SHARE_SPAN), Math.max(1, seconds(now)));
-            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * fleet.reach / fleet.nodes().size();
+            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * fleet.reach / fleet.size();
             return routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
                     && node.lot * usual * routers < COLD_LOT * rate;
         }
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 
 /** A data node as this router knows it. */
-public final class DataNode {
+public final class DataNode extends Health {
     public final int cell;
     public final Zone zone;
     /** Size beside other nodes'; 1 where not stated. */
@@ -20,9 +20,6 @@
     public TimeRing workSent;
     /** Drawn from 0 to 1 when it was first listed; set up by the one who measures. */
     public double lot;
-    /** Its answers and failures lately; set up by the one who measures. */
-    public TimeRing answers;
-    public TimeRing failures;
     /** Smoothed time of its answers beside the quiet time of their vertical; 0 before the first. */
     public double slowness;
     public Duration lastAnswerAt;
@@ -32,10 +29,6 @@
     public Duration countedAt;
     /** A probe is out. */
     public boolean probing;
-    /** Left alone at least until this time while another will do; null: no reason. */
-    public Duration avoidUntil;
-    /** Failures in a row that led to avoiding it. */
-    public int strikes;
 
     public DataNode(int cell, Zone zone) {
         this.cell = cell;
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -11,8 +11,6 @@
     /** Null where the deployment has no customers. */
     public final Customer customer;
     public final Duration arrivedAt;
-    /** When its client first asked, as far as that shows. */
-    public Duration askedAt;
     /** When the client stops waiting. */
     public final Duration deadline;
     /** Parts of the step that is under way. */
@@ -31,7 +29,6 @@
         this.vertical = vertical;
         this.customer = customer;
         this.arrivedAt = arrivedAt;
-        this.askedAt = arrivedAt;
         this.deadline = deadline;
     }
 
--- a/src/main/java/postbeam/state/Vertical.java
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -23,9 +23,6 @@
 
     /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
     public Duration quietTime;
-    /** The time that most tries of clients have left, by majority vote, and the votes it is ahead. */
-    public Duration usualLeft;
-    public int votes;
 
     public Vertical(Duration sloTime, Duration deadline, Effect effect, Duration repeatWindow, double utility,
             double lateUtility, double need, double floor, double shortUtility, int followUp) {
