--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -122,8 +122,7 @@
 
     // ---- what can happen
 
-    public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt,
-            double size) {
+    public void nodeListed(DataNode node, Readiness readiness, Duration startedAt) {
         boolean fresh = node.workSent == null;
         if (fresh) {
             node.workSent = cold.ring();
@@ -149,10 +148,9 @@
         }
         node.readiness = readiness;
         node.startedAt = startedAt;
-        node.size = size;
     }
 
-    public void queryArrived(Duration now, Query q, boolean repeated) {
+    public void queryArrived(Duration now, Query q) {
         open.add(q);
         further.took(now);
         q.overShare = held.beyondShare(now, q.customer);
@@ -202,7 +200,7 @@
         waking = false;
     }
 
-    public void probed(Duration now, DataNode node, boolean answered, Duration took) {
+    public void probed(Duration now, DataNode node, boolean answered) {
         node.probing = false;
         if (answered) {
             node.avoidUntil = null;
@@ -239,25 +237,26 @@
         Duration left = q.deadline.minus(now);
         if (!waiting && in + ROUNDING >= q.needed()) {
             answerWhole(q);
-        } else if (left.compareTo(LAST_WORD) <= 0 || partialIsBest(now, q, in)) {
-            giveUp(now, q);
-        } else if (waiting || q.parts.isEmpty()) {
-            return;
-        } else if (possible + ROUNDING < q.needed()
-                && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)) {
-            giveUp(now, q);
-        } else if (tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
-                || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0))) {
-            // What is out and only late may still come: throwing it away would feed an overload.
-            giveUp(now, q);
-        } else if (q.untouched() && (hopeless(now, q) || now.minus(q.arrivedAt).compareTo(
-                times(q.vertical.sloTime, worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0)) {
-            // Guards against overload of any cause: what can't begin soon is told so while the client can
-            // still act.
+        } else if (left.compareTo(LAST_WORD) <= 0 || partialIsBest(now, q, in) || !waiting && !q.parts.isEmpty()
+                && (possible + ROUNDING < q.needed()
+                && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)
+                || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q))) {
             giveUp(now, q);
         }
     }
 
+    /** What is out and only late may still come: throwing it away would feed an overload. */
+    private boolean lateForGood(Duration now, Query q) {
+        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
+                || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
+    }
+
+    /** Guards against overload of any cause: what can't begin soon is told so while the client can still act. */
+    private boolean noLongerBegun(Duration now, Query q) {
+        return hopeless(now, q) || now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
+                worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0;
+    }
+
     /** The SLO time is about to pass, and what is in is worth more now than a whole answer after it. */
     private static boolean partialIsBest(Duration now, Query q, double in) {
         Vertical v = q.vertical;
@@ -433,11 +432,10 @@
                 bestRank = rank;
             }
         }
-        if (bestPart == null) {
-            return false;
+        if (bestPart != null) {
+            send(now, bestPart, bestNode);
         }
-        send(now, bestPart, bestNode);
-        return true;
+        return bestPart != null;
     }
 
     /** Spares in flight: parts out beyond what their queries still need. */
@@ -507,10 +505,7 @@
         if (q.offset >= 0) {
             return;
         }
-        int most = 1;
-        for (Part part : q.parts) {
-            most = Math.max(most, fleet.replicas(part.shard).size());
-        }
+        int most = q.parts.stream().mapToInt(part -> fleet.replicas(part.shard).size()).reduce(1, Math::max);
         int first = chance.nextInt(most);
         int best = first;
         double least = Double.MAX_VALUE;
@@ -600,18 +595,17 @@
             node.strikes = Math.max(0, node.strikes - 1);
         }
         double slow = seconds(took) / Math.max(0.001, seconds(quiet(v)));
-        boolean shows = outcome == Outcome.MERGED
-                || (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED) && slow > node.slowness;
-        if (shows) {
+        boolean unanswered = outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED;
+        if (outcome == Outcome.MERGED || unanswered && slow > node.slowness) {
             node.slowness = node.slowness == 0 ? slow : node.slowness + SMOOTHING * (slow - node.slowness);
         }
         // Guards against links that swallow calls and nodes that take work and answer none: once the call is
         // over nothing else would tell of it. It could hurt where a sound node is merely late to its only
         // call of ours.
-        boolean silent = (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED)
-                && took.compareTo(overdueAfter(now, v)) > 0 && !node.answeredSince(call.sentAt);
-        boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET || silent;
-        learnZone(now, call, broken || took.compareTo(overdueAfter(now, v)) > 0);
+        boolean late = took.compareTo(overdueAfter(now, v)) > 0;
+        boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET
+                || unanswered && late && !node.answeredSince(call.sentAt);
+        learnZone(now, call, broken || late);
         if (broken || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
             node.failures.add(now, 1);
             if (broken || failing(now, node, FAILURES_LEAST, FAILING_SHARE)) {
@@ -773,19 +767,11 @@
     }
 
     /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
-    public static final class FurtherCalls {
-        private final double free;
-        private final double share;
-        private final Duration span;
-        private final TimeRing taken;
-        private final TimeRing sent;
-
+    public record FurtherCalls(Double free, Double share, Duration span, TimeRing taken, TimeRing sent) {
         public FurtherCalls(Double free, Double share, Duration span) {
-            this.free = free == null ? 0 : free;
-            this.share = share == null ? 0 : share;
-            this.span = span;
-            this.taken = new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
-            this.sent = new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+            this(free == null ? 0 : free, share == null ? 0 : share, span,
+                    new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS),
+                    new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS));
         }
 
         void took(Duration now) {
@@ -807,23 +793,12 @@
      * usually send there, were the node alone with its shards, down to its share; so the means of all routers
      * add up to no more than the budget, however many they are.
      */
-    public static final class ColdPacing {
-        private final double from;
-        private final Duration ramp;
-        private final Double multiple;
-        private final Duration span;
-        private final int routers;
-        private final Duration callCost;
-        private final TimeRing allSent = new TimeRing(SHARE_SPAN, BUCKETS);
-
+    public record ColdPacing(double from, Duration ramp, Double multiple, Duration span, int routers,
+            Duration callCost, TimeRing allSent) {
         public ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
                 Duration callCost) {
-            this.from = from == null ? 0 : from;
-            this.ramp = ramp;
-            this.multiple = multiple;
-            this.span = span;
-            this.routers = routers == null ? 1 : Math.max(1, routers);
-            this.callCost = callCost == null ? Duration.ZERO : callCost;
+            this(from == null ? 0 : from, ramp, multiple, span, routers == null ? 1 : Math.max(1, routers),
+                    callCost == null ? Duration.ZERO : callCost, new TimeRing(SHARE_SPAN, BUCKETS));
         }
 
         TimeRing ring() {
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -25,7 +25,6 @@
 /** One instance at the door: turns ids into objects and back, and writes what its Decide has done. */
 final class Instance implements Host {
     private static final int COST_HINT_IS_VALID = 1;
-    private static final int REPEAT_OF_A_CLIENT = 2;
 
     private final int id;
     private final long startMicros;
@@ -118,14 +117,14 @@
                 nodes.put(entry.address(), node);
                 addresses.put(node, entry.address());
             }
-            decide.nodeListed(now, node, entry.readiness(),
-                    entry.startedMicros() == 0 ? null : since(entry.startedMicros()), entry.size());
+            decide.nodeListed(node, entry.readiness(),
+                    entry.startedMicros() == 0 ? null : since(entry.startedMicros()));
         }
         if (whole) {
             for (Map.Entry<String, DataNode> known : new ArrayList<>(nodes.entrySet())) {
                 if (!seen.containsKey(known.getKey())) {
                     DataNode node = known.getValue();
-                    decide.nodeListed(now, node, Readiness.GONE, node.startedAt, node.size);
+                    decide.nodeListed(node, Readiness.GONE, node.startedAt);
                 }
             }
         }
@@ -154,7 +153,7 @@
             byNumber.put(number, query);
             numbers.put(query, number);
             ids.put(query, job);
-            decide.queryArrived(now, query, (attrs & REPEAT_OF_A_CLIENT) != 0);
+            decide.queryArrived(now, query);
             return;
         }
         Query query = byNumber.get(number);
@@ -193,9 +192,8 @@
     void probed(Duration now, Lines in) {
         DataNode node = nodes.get(in.text());
         Outcome outcome = outcome(in.text());
-        Duration took = Duration.ofNanos(in.number(0) * 1000);
         if (node != null) {
-            decide.probed(now, node, outcome == Outcome.MERGED, took);
+            decide.probed(now, node, outcome == Outcome.MERGED);
         }
     }
 
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -8,8 +8,6 @@
 public final class DataNode extends Health {
     public final int cell;
     public final Zone zone;
-    /** Size beside other nodes'; 1 where not stated. */
-    public double size = 1;
     public Readiness readiness = Readiness.READY;
     /** When it last started; null: not known, or long ago. */
     public Duration startedAt;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -127,7 +127,7 @@
 
     @Test
     void aQueryThatNoNodeCanTakeIsRejectedSoonest() {
-        given.nodes.forEach(n -> given.decide.nodeListed(ms(0), n, Readiness.DRAINING, null, 1));
+        given.nodes.forEach(n -> given.decide.nodeListed(n, Readiness.DRAINING, null));
         given.query(ms(0), repeatable, 1);
         given.decide.turnEnded(ms(150));
         assertEquals(List.of(), given.ended);
@@ -137,8 +137,8 @@
 
     @Test
     void nothingGoesToADrainingNode() {
-        given.decide.nodeListed(ms(0), given.nodes.get(0), Readiness.DRAINING, null, 1);
-        given.decide.nodeListed(ms(0), given.nodes.get(1), Readiness.GONE, null, 1);
+        given.decide.nodeListed(given.nodes.get(0), Readiness.DRAINING, null);
+        given.decide.nodeListed(given.nodes.get(1), Readiness.GONE, null);
         given.query(ms(10), repeatable, 6);
         given.decide.turnEnded(ms(10));
         assertEquals(6, given.sent.size());
@@ -154,7 +154,7 @@
         assertNotNull(call.node.avoidUntil);
         given.decide.turnEnded(ms(1800));
         assertEquals(List.of(call.node), given.probed);
-        given.decide.probed(ms(1801), call.node, true, ms(1));
+        given.decide.probed(ms(1801), call.node, true);
         assertNull(call.node.avoidUntil);
     }
 
--- a/src/test/java/postbeam/Given.java
+++ b/src/test/java/postbeam/Given.java
@@ -33,7 +33,7 @@
                 new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 1, ms(20)));
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new DataNode(0, zone));
-            decide.nodeListed(ms(0), nodes.get(i), Readiness.READY, null, 1);
+            decide.nodeListed(nodes.get(i), Readiness.READY, null);
         }
     }
 
@@ -48,7 +48,7 @@
     /** A query that has arrived with so many parts of equal weight. */
     Query query(Duration now, Vertical vertical, int parts) {
         Query q = new Query(vertical, null, now, now.plus(DEADLINE));
-        decide.queryArrived(now, q, false);
+        decide.queryArrived(now, q);
         for (int i = 0; i < parts; i++) {
             decide.partArrived(now, new Part(q, i, 1.0 / parts, null));
         }
