--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -215,9 +215,7 @@
             settle(now, q);
         }
         lookAfter(now);
-        for (Query q : open) {
-            callBack(now, q);
-        }
+        open.forEach(q -> callBack(now, q));
         fill(now);
         if (!open.isEmpty() && !waking) {
             waking = true;
@@ -466,25 +464,21 @@
     }
 
     /**
-     * Calls off lost leaf calls that keep a part from going elsewhere: where copies are barred, those to
-     * silent nodes; where an any-n query has all its places out, for a fresh part. Time-outs would do the
-     * same to calls that merely wait their turn, and throw away the wait: when all nodes are slow that feeds
-     * the overload.
+     * Calls off what is out to silent nodes and keeps a part from going elsewhere: where copies are barred, or
+     * an any-n query has all its places out. A time-out would do the same to calls that merely wait their turn,
+     * and throw away the wait: when all nodes are slow that feeds the overload.
      */
     private void callBack(Duration now, Query q) {
         Vertical v = q.vertical;
-        boolean room = !q.anyN() || q.out() <= q.alpha() || q.count(part -> part.calls.isEmpty()) == 0;
+        if (calls.mayDuplicate && (!q.anyN() || q.out() <= q.alpha())) {
+            return;
+        }
         for (Part part : q.parts) {
             if (part.out.isEmpty() || part.merged || !mayStillSend(now, part)) {
                 continue;
             }
             LeafCall call = part.out.get(0);
-            if (calls.mayDuplicate) {
-                if (!room && lost(now, call)) {
-                    cancelAll(part);
-                    return;
-                }
-            } else if (silent(now, call) && further.allowed(now) && v.effect != Effect.SIDE_EFFECTING
+            if (silent(now, call) && further.allowed(now) && v.effect != Effect.SIDE_EFFECTING
                     && (v.effect == Effect.REPEATABLE || inWindow(now.plus(LAST_WORD), call.sentAt, v))) {
                 DataNode other = chooseNode(now, part);
                 if (other != null && !suspect(now, other, v)) {
