--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -6,10 +6,10 @@
 
 /**
  * All decisions of one query router. A door (see benchlink.Instance) builds one for each instance, calls one
- * method for each thing that happens, in order, and {@link #turnEnded} once all that came in together has
- * been told. Decide acts by calling {@link Host}; facts stand in postbeam.state. It holds no network code,
- * reads no clock and looks at no names. Times are spans since the instance's start. The order of free slots
- * is non-preemptive SEDPT-R (Sun et al.); docs/design.md tells what was kept and added, and why.
+ * method for each thing that happens, in order, and {@link #turnEnded} once all that came together is told.
+ * Decide acts by calling {@link Host}; facts stand in postbeam.state. It reads no clock and looks at no
+ * names; times are spans since the start. The order of free slots is non-preemptive SEDPT-R (Sun et al.);
+ * docs/design.md tells what was kept and added, and why.
  */
 public final class Decide {
     // ---- constants: unit, and why this size
@@ -25,12 +25,11 @@
     /** Shares of the SLO time within which a query is begun or rejected: usually, and if worth little. */
     private static final double START_SHARE = 0.4;
     private static final double START_SHARE_LITTLE = 0.1;
-    /** Shares of the window: to which a query worth little is begun, and from which the window is in use. */
-    private static final double LITTLE_WINDOW = 0.6;
+    /** Share of the window up to which a query worth little is begun, and from which the window is in use. */
     private static final double IN_USE_SHARE = 0.6;
-    /** Times the usual time that the slowest of many parts takes, and no less. */
+    /** Times the usual time that the slowest of many parts takes. */
     private static final double SLOWEST_TIMES = 2.5;
-    /** Oldest open queries that compete for slots: more than any limit on held ones allows, and it bounds a turn. */
+    /** Oldest open queries that compete for slots: more than most limits allow, and it bounds a turn. */
     private static final int CANDIDATES = 48;
     /** Share of parts in flight that may be spares, as the design page has it. */
     private static final double SPARE_SHARE = 0.1;
@@ -115,8 +114,8 @@
         this.calls = calls;
         this.further = further;
         this.cold = cold;
-        // Replica lists begin with our zone and then go by place within a shard's reach: so one offset leads
-        // neighbouring shards to the same nodes, and their parts share calls, which have a cost.
+        // Our zone first, then by place within a shard's reach: one offset leads neighbouring shards to the
+        // same nodes, and their parts share calls, which have a cost.
         fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach) + n.cell % fleet.reach));
     }
 
@@ -128,12 +127,8 @@
             node.workSent = cold.ring();
             node.lot = chance.nextDouble();
             zones.add(node.zone);
-            for (Health health : List.of(node, node.zone)) {
-                if (health.answers == null) {
-                    health.answers = new TimeRing(HEALTH_MEMORY, BUCKETS);
-                    health.failures = new TimeRing(HEALTH_MEMORY, BUCKETS);
-                }
-            }
+            node.measure(HEALTH_MEMORY, BUCKETS);
+            node.zone.measure(HEALTH_MEMORY, BUCKETS);
         }
         if (readiness == Readiness.GONE) {
             fleet.remove(node);
@@ -152,12 +147,12 @@
 
     public void queryArrived(Duration now, Query q) {
         open.add(q);
-        further.took(now);
+        further.taken().add(now, 1);
         q.overShare = held.beyondShare(now, q.customer);
     }
 
     public void partArrived(Duration now, Part part) {
-        further.took(now);
+        further.taken().add(now, 1);
     }
 
     public void leafCallEnded(Duration now, LeafCall call, Outcome outcome, Duration took, boolean partOver) {
@@ -165,12 +160,11 @@
         inFlight--;
         Part part = call.part;
         Query q = part.query;
-        if (!outcome.provesNotRun && (part.mayHaveRunSince == null
-                || part.mayHaveRunSince.compareTo(call.sentAt) > 0)) {
-            part.mayHaveRunSince = call.sentAt;
+        if (!outcome.provesNotRun) {
+            part.mayHaveRun(call.sentAt);
         }
-        // What was sent before the window was halved tells nothing of the halved one: else one query that
-        // meets a few full nodes, or a node that rejects fast, would close it.
+        // What was sent before the last halving tells nothing new: else one query that meets a few full
+        // nodes, or a node that rejects fast, would close the window.
         if (outcome == Outcome.FULL && call.node.avoidUntil == null
                 && (halvedAt == null || call.sentAt.compareTo(halvedAt) > 0)) {
             halvedAt = now;
@@ -180,7 +174,7 @@
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
             // Guards against a wide window while every node is slow, which no rejection tells: late parts
-            // narrow it where the middle node is slow too, and it grows only while it is in use.
+            // narrow it where the middle node is slow too. It grows only in use.
             Duration limit = times(q.vertical.sloTime, LATE_SHARE);
             boolean late = took.compareTo(limit) > 0
                     && usualTime(now, q.vertical, 2).compareTo(limit) > 0;
@@ -235,7 +229,7 @@
         Duration left = q.deadline.minus(now);
         if (!waiting && in + ROUNDING >= q.needed()) {
             answerWhole(q);
-        } else if (left.compareTo(LAST_WORD) <= 0 || partialIsBest(now, q, in) || !waiting && !q.parts.isEmpty()
+        } else if (left.compareTo(LAST_WORD) <= 0 || partialIsBest(now, q, in) || !q.parts.isEmpty()
                 && (possible + ROUNDING < q.needed()
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)
                 || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q))) {
@@ -243,13 +237,13 @@
         }
     }
 
-    /** What is out and only late may still come: throwing it away would feed an overload. */
+    /** What is only late may still come: throwing it away would feed an overload. */
     private boolean lateForGood(Duration now, Query q) {
-        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded() && (missing(q)
-                || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
+        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || held.crowded(open)
+                && (q.alpha() > q.out() || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
     }
 
-    /** Guards against overload of any cause: what can't begin soon is told so while the client can still act. */
+    /** Guards against overload of any cause: what can't begin soon is told so while its client can act. */
     private boolean noLongerBegun(Duration now, Query q) {
         return hopeless(now, q) || now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
                 worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0;
@@ -264,36 +258,29 @@
 
     /** Its SLO time is over, or so many usual times for what is unsent last past its end. */
     private boolean tooLate(Duration now, Query q, double rounds) {
-        return now.plus(missing(q) ? usualTime(now, q.vertical, rounds) : Duration.ZERO).compareTo(q.sloAt()) >= 0;
+        Duration done = q.alpha() > q.out() ? now.plus(usualTime(now, q.vertical, rounds)) : now;
+        return done.compareTo(q.sloAt()) >= 0;
     }
 
     /**
-     * Its client will have left before the usual time is over, for the slowest of its parts about twice that.
-     * Guards against clients that come with little time, over and over. While nothing else is out it is tried:
-     * what was learnt may be out of date.
+     * Guards against beginning what the usual time brings past its client's limit or SLO time, over and over.
+     * While nothing else is out it is tried: what was learnt may be out of date.
      */
     private boolean hopeless(Duration now, Query q) {
         double slowest = q.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
-        return inFlight > 0 && q.vertical.quietTime != null && min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now)
-                .compareTo(usualTime(now, q.vertical, slowest)) < 0;
-    }
-
-    /** Parts are needed that have no leaf call out. */
-    private boolean missing(Query q) {
-        return q.alpha() > q.out();
+        Duration left = min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now);
+        return inFlight > 0 && q.vertical.quietTime != null
+                && left.compareTo(usualTime(now, q.vertical, slowest)) < 0;
     }
 
-    /**
-     * A short limit may also be an impatient client's, and a narrow window grows in use: so these only come
-     * last, and are not given up for it.
-     */
+    /** What the window as it is would bring too late only comes last: the window grows in use. */
     private boolean worthLittle(Duration now, Query q) {
         return q.overShare || tooLate(now, q, 1 + q.alpha() / window) || q.untouched() && !placeable(now, q);
     }
 
     /**
-     * Guards against work for queries that a shard without a sound node will spoil: where others wait, they come
-     * last. It also holds back what would need a cold node without budget. Alone, they are tried all the same.
+     * Guards against work for queries that a shard without a sound node, or with cold ones alone, will spoil:
+     * where others wait, they come last. Alone, they are tried all the same.
      */
     private boolean placeable(Duration now, Query q) {
         chooseOffset(now, q);
@@ -325,7 +312,7 @@
         if (lastStep && in > 0 && in + ROUNDING >= q.vertical.floor) {
             host.answer(q, false);
         } else if (harmless) {
-            host.reject(q, held.comeBack(crowded()));
+            host.reject(q, held.comeBack(held.crowded(open)));
         } else {
             host.abort(q);
         }
@@ -339,21 +326,13 @@
 
     private void cancelAll(Part part) {
         for (LeafCall call : part.out) {
-            cancel(call);
-        }
-    }
-
-    private void cancel(LeafCall call) {
-        if (calls.mayCancel && !call.cancelAsked) {
-            call.cancelAsked = true;
-            host.cancel(call);
+            if (calls.mayCancel && !call.cancelAsked) {
+                call.cancelAsked = true;
+                host.cancel(call);
+            }
         }
     }
 
-    private boolean crowded() {
-        return held.crowded(open.stream().mapToInt(q -> 1 + q.parts.size()).sum());
-    }
-
     // ---- which query gets a free slot: SEDPT-R
 
     /** Parts in flight that can be counted on: an overdue part counts no more. */
@@ -372,7 +351,7 @@
 
     /** This router's share of a few parts a node: less would leave nodes idle while queries wait. */
     private double leastWindow() {
-        return Math.max(WINDOW_LEAST, held.share(PARTS_A_NODE * fleet.size()));
+        return Math.max(WINDOW_LEAST, PARTS_A_NODE * fleet.size() / cold.routers());
     }
 
     private void fill(Duration now) {
@@ -391,7 +370,7 @@
                 }
             }
             boolean room = !best.untouched() || !worthLittle(now, best)
-                    || inFlight - lost < window * LITTLE_WINDOW;
+                    || inFlight - lost < window * IN_USE_SHARE;
             if (!room || !sendNext(now, best, bestValue)) {
                 candidates.remove(best);
             }
@@ -406,10 +385,10 @@
 
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
-        // When every node slows or a burst narrows the window, spares would lengthen the wait they are to
-        // shorten.
-        if (value <= 0 && (!q.anyN() || window < WINDOW_START
-                || spares() + 1 > SPARE_SHARE * (inFlight + 1)) || q.anyN() && q.out() > q.alpha()) {
+        int spares = open.stream().mapToInt(other -> Math.max(0, other.out() - other.alpha())).sum();
+        // Where the window is narrow, spares would lengthen the wait that they are to shorten.
+        if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
+                || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
         chooseOffset(now, q);
@@ -436,20 +415,13 @@
         return bestPart != null;
     }
 
-    /** Spares in flight: parts out beyond what their queries still need. */
-    private int spares() {
-        return open.stream().mapToInt(q -> Math.max(0, q.out() - q.alpha())).sum();
-    }
-
     private void send(Duration now, Part part, DataNode node) {
         if (!part.calls.isEmpty()) {
-            further.sent(now);
+            further.sent().add(now, 1);
         }
         cold.sent(now, node, cold.work(part, quiet(part.query.vertical)));
         LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
-        if (node.zone.strikes > 0 && !shunned(now, node.zone)) {
-            node.zone.trial = call;
-        }
+        node.zone.trial = node.zone.strikes > 0 && !shunned(now, node.zone) ? call : node.zone.trial;
         inFlight++;
         host.send(call);
     }
@@ -464,9 +436,9 @@
     }
 
     /**
-     * Calls off what is out to silent nodes and keeps a part from going elsewhere: where copies are barred, or
-     * an any-n query has all its places out. A time-out would do the same to calls that merely wait their turn,
-     * and throw away the wait: when all nodes are slow that feeds the overload.
+     * Calls off what is out to silent nodes and keeps a part from going elsewhere: where copies are barred,
+     * or an any-n query has all its places out. A time-out would also throw away the wait of calls that only
+     * wait their turn: when all nodes are slow that feeds the overload.
      */
     private void callBack(Duration now, Query q) {
         Vertical v = q.vertical;
@@ -482,7 +454,7 @@
                     && (v.effect == Effect.REPEATABLE || inWindow(now.plus(LAST_WORD), call.sentAt, v))) {
                 DataNode other = chooseNode(now, part);
                 if (other != null && !suspect(now, other, v)) {
-                    cancel(call);
+                    cancelAll(part);
                 }
             }
         }
@@ -526,8 +498,8 @@
     }
 
     /**
-     * The node at the query's offset, or at the next one that is better placed. Never shuts out all replicas
-     * on suspicion: the least bad is taken. Null where none may take the part now.
+     * The node at the query's offset, or the next that is better placed; null where none may take the part.
+     * Suspicion never shuts out all replicas: the least bad is taken.
      */
     private DataNode chooseNode(Duration now, Part part) {
         List<DataNode> replicas = fleet.replicas(part.shard);
@@ -561,15 +533,11 @@
      * when all nodes are slow alike, so slowness is measured against the middle node.
      */
     private boolean suspect(Duration now, DataNode node, Vertical v) {
-        if (node.avoidUntil != null || node.strikes > 0 && !node.out.isEmpty() || shunned(now, node.zone)) {
-            return true;
-        }
         LeafCall oldest = node.oldestOut();
-        if (oldest != null && (silent(now, oldest)
-                || now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0)) {
-            return true;
-        }
-        return node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
+        return node.avoidUntil != null || node.strikes > 0 && oldest != null || shunned(now, node.zone)
+                || oldest != null && (silent(now, oldest)
+                || now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0)
+                || node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
                 && now.minus(node.lastAnswerAt).compareTo(HEALTH_MEMORY) < 0;
     }
 
@@ -580,11 +548,8 @@
             Duration known = v.quietTime == null ? took : v.quietTime;
             double weight = took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE;
             v.quietTime = known.plus(times(took.minus(known), weight));
-            node.lastAnswerAt = now;
+            node.answered(now, call.sentAt);
             fleet.answered(node);
-            if (node.answeredSentAt == null || node.answeredSentAt.compareTo(call.sentAt) < 0) {
-                node.answeredSentAt = call.sentAt;
-            }
             node.answers.add(now, 1);
             node.strikes = Math.max(0, node.strikes - 1);
         }
@@ -593,9 +558,8 @@
         if (outcome == Outcome.MERGED || unanswered && slow > node.slowness) {
             node.slowness = node.slowness == 0 ? slow : node.slowness + SMOOTHING * (slow - node.slowness);
         }
-        // Guards against links that swallow calls and nodes that take work and answer none: once the call is
-        // over nothing else would tell of it. It could hurt where a sound node is merely late to its only
-        // call of ours.
+        // Guards against links that swallow calls and nodes that answer none: once the call is over nothing
+        // else would tell of it. It could hurt where a sound node is merely late to its only call of ours.
         boolean late = took.compareTo(overdueAfter(now, v)) > 0;
         boolean broken = outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET
                 || unanswered && late && !node.answeredSince(call.sentAt);
@@ -614,11 +578,9 @@
     }
 
     /**
-     * Guards against a way to a whole zone that is cut, slow or lossy, for us alone or for all: a router meets
-     * each node so seldom that their own records tell nothing in time. Its calls of a few seconds count together,
-     * each node once a while; where most failed, one call at a time shows whether it is sound again. It also
-     * catches a zone without power. It could hurt where the nodes that a query meets fail for reasons of their
-     * own; so it asks for several, and a zone is shunned only while another is not.
+     * Guards against a way to a whole zone that is cut, slow or lossy, for us or for all: a router meets each
+     * node too seldom to learn it there. Where most calls to its nodes failed lately, one at a time shows if
+     * it is sound again. It could hurt where nodes fail for reasons of their own, so several must.
      */
     private void learnZone(Duration now, LeafCall call, boolean failed) {
         Zone zone = call.node.zone;
@@ -637,7 +599,8 @@
     }
 
     private boolean shunned(Duration now, Zone zone) {
-        return zone.strikes > 0 && (now.compareTo(zone.avoidUntil) < 0 || zone.trial != null && !zone.trial.ended)
+        boolean onTrial = zone.trial != null && !zone.trial.ended;
+        return zone.strikes > 0 && (onTrial || now.compareTo(zone.avoidUntil) < 0)
                 && zones.stream().anyMatch(other -> other.strikes == 0);
     }
 
@@ -655,8 +618,7 @@
 
     /**
      * The way back of a node left alone: a probe first, which costs next to nothing beside a part lost, then
-     * one part at a time until one is merged. A probe may be answered by a node that serves nothing; the part
-     * shows it.
+     * one part at a time until one is merged, since a node that serves nothing may answer probes.
      */
     private void lookAfter(Duration now) {
         for (DataNode node : List.copyOf(resting)) {
@@ -696,10 +658,10 @@
     /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
     private boolean overdue(Duration now, LeafCall call) {
         return call.node.avoidUntil != null
-                || now.minus(call.sentAt).compareTo(overdueAfter(now, call.part.query.vertical)) > 0;
+                || now.minus(overdueAfter(now, call.part.query.vertical)).compareTo(call.sentAt) > 0;
     }
 
-    /** Its node has answered nothing for as long; what came beside it in the same call need not tell of it. */
+    /** Its node has answered nothing for as long; what came beside it in the same call tells little. */
     private boolean silent(Duration now, LeafCall call) {
         return overdue(now, call) && (call.node.avoidUntil != null
                 || !call.node.answeredSince(now.minus(overdueAfter(now, call.part.query.vertical))));
@@ -752,11 +714,8 @@
     /** What may be done with leaf calls; what is not stated is not permitted. */
     public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe) {
         public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe) {
-            this(most == null ? 1 : most, yes(mayDuplicate), yes(mayCancel), yes(mayProbe));
-        }
-
-        private static boolean yes(Boolean stated) {
-            return stated != null && stated;
+            this(most == null ? 1 : most, Boolean.TRUE.equals(mayDuplicate), Boolean.TRUE.equals(mayCancel),
+                    Boolean.TRUE.equals(mayProbe));
         }
     }
 
@@ -768,24 +727,15 @@
                     new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS));
         }
 
-        void took(Duration now) {
-            taken.add(now, 1);
-        }
-
-        void sent(Duration now) {
-            sent.add(now, 1);
-        }
-
         boolean allowed(Duration now) {
             return span == null || sent.atLeast(now, span) + 1 <= free + share * taken.atMost(now, span);
         }
     }
 
     /**
-     * This router's own share of what a cold node may be sent in any window of the rule. Where that is less than
-     * a part, lots are drawn: a router is open to the node with the chance that brings the mean of what it would
-     * usually send there, were the node alone with its shards, down to its share; so the means of all routers
-     * add up to no more than the budget, however many they are.
+     * This router's own share of what a cold node may be sent in any window of the rule. Where that is less
+     * than a part, lots are drawn: a router is open with the chance that brings the mean of what it would
+     * send, were the node alone with its shards, down to its share; so all means together keep the budget.
      */
     public record ColdPacing(double from, Duration ramp, Double multiple, Duration span, int routers,
             Duration callCost, TimeRing allSent) {
@@ -847,18 +797,14 @@
             this.longestComeBack = longestComeBack;
         }
 
-        double share(double ofAllRouters) {
-            return ofAllRouters / routers;
-        }
-
-        boolean crowded(int count) {
+        boolean crowded(List<Query> open) {
+            int count = open.stream().mapToInt(q -> 1 + q.parts.size()).sum();
             return most != null && count > CROWDED_SHARE * most;
         }
 
         /**
-         * Beyond its even share at this router, and further than the router's customers are on the whole:
-         * clients are not spread evenly over routers, so one that gets more than the others sees all
-         * customers beyond.
+         * Beyond its even share at this router, and further than the router's customers are on the whole: a
+         * router that gets more clients than the others sees all customers beyond.
          */
         boolean beyondShare(Duration now, Customer customer) {
             if (customer == null || customer.quotaPerSecond == null || overShareUtility == null
@@ -881,7 +827,7 @@
             if (!crowded || longestComeBack == null) {
                 return Duration.ZERO;
             }
-            return COME_BACK.compareTo(longestComeBack) < 0 ? COME_BACK : longestComeBack;
+            return min(COME_BACK, longestComeBack);
         }
     }
 }
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -53,4 +53,12 @@
     public boolean answeredSince(Duration since) {
         return lastAnswerAt != null && lastAnswerAt.compareTo(since) >= 0;
     }
+
+    /** It has answered a call sent then. */
+    public void answered(Duration now, Duration sentAt) {
+        lastAnswerAt = now;
+        if (answeredSentAt == null || answeredSentAt.compareTo(sentAt) < 0) {
+            answeredSentAt = sentAt;
+        }
+    }
 }
--- a/src/main/java/postbeam/state/Health.java
+++ b/src/main/java/postbeam/state/Health.java
@@ -11,4 +11,12 @@
     public Duration avoidUntil;
     /** Failures in a row that led to leaving it alone. */
     public int strikes;
+
+    /** Sets up what it is measured by, unless that is done. */
+    public void measure(Duration span, int buckets) {
+        if (answers == null) {
+            answers = new TimeRing(span, buckets);
+            failures = new TimeRing(span, buckets);
+        }
+    }
 }
--- a/src/main/java/postbeam/state/Part.java
+++ b/src/main/java/postbeam/state/Part.java
@@ -27,4 +27,11 @@
         this.work = work;
         query.parts.add(this);
     }
+
+    /** A leaf call sent then may have run. */
+    public void mayHaveRun(Duration sentAt) {
+        if (mayHaveRunSince == null || mayHaveRunSince.compareTo(sentAt) > 0) {
+            mayHaveRunSince = sentAt;
+        }
+    }
 }
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -227,11 +227,11 @@
     void furtherLeafCallsStayWithinTheRation() {
         var ration = new Decide.FurtherCalls(1.0, 0.1, ms(10_000));
         for (int i = 0; i < 10; i++) {
-            ration.took(ms(0));
+            ration.taken().add(ms(0), 1);
         }
-        ration.sent(ms(100));
+        ration.sent().add(ms(100), 1);
         assertTrue(ration.allowed(ms(200)));
-        ration.sent(ms(200));
+        ration.sent().add(ms(200), 1);
         assertFalse(ration.allowed(ms(300)));
     }
 
