--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -240,7 +240,8 @@
     /** What is only late may still come: throwing it away would feed an overload. */
     private boolean lateForGood(Duration now, Query q) {
         return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || held.crowded(open)
-                && (q.alpha() > q.out() || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
+                && (q.alpha() > q.out()
+                || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
     }
 
     /** Guards against overload of any cause: what can't begin soon is told so while its client can act. */
