--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -17,6 +17,7 @@
 import postbeam.state.Fleet;
 import postbeam.state.LeafCall;
 import postbeam.state.Outcome;
+import postbeam.state.Part;
 import postbeam.state.Query;
 import postbeam.state.Readiness;
 import postbeam.state.Vertical;
@@ -250,4 +251,105 @@
         assertTrue(held.beyondShare(ms(30), loud));
         assertFalse(held.beyondShare(ms(30), quiet));
     }
+
+    @Test
+    void aPartLostBesideAnsweredOnesOfItsCallGetsACopy() {
+        given.query(ms(0), repeatable, 2);
+        given.decide.turnEnded(ms(0));
+        ends(given, ms(100), given.sent.get(0), Outcome.MERGED);
+        given.decide.turnEnded(ms(500));
+        assertEquals(3, given.sent.size());
+        assertNotSame(given.sent.get(1).node, given.sent.get(2).node);
+    }
+
+    @Test
+    void rejectionsOfOneTurnsCallsHalveTheWindowOnce() {
+        given.query(ms(0), repeatable, 40);
+        given.decide.turnEnded(ms(0));
+        assertEquals(32, given.sent.size());
+        for (LeafCall call : List.copyOf(given.sent)) {
+            ends(given, ms(50), call, Outcome.FULL);
+        }
+        given.decide.turnEnded(ms(50));
+        assertEquals(32 + 16, given.sent.size());
+    }
+
+    @Test
+    void nothingIsOverdueWhereASecondTryHasNoTimeLeft() {
+        given.query(ms(0), repeatable, 1);
+        given.decide.turnEnded(ms(0));
+        repeatable.quietTime = ms(600);
+        given.decide.turnEnded(ms(1900));
+        assertEquals(1, given.sent.size());
+    }
+
+    @Test
+    void whatItsClientWillNotWaitForIsRejectedUnbegun() {
+        given.query(ms(0), repeatable, 2);
+        given.decide.turnEnded(ms(0));
+        repeatable.quietTime = ms(300);
+        Query brief = new Query(repeatable, null, ms(0), ms(500));
+        given.decide.queryArrived(ms(0), brief);
+        new Part(brief, 0, 0.5, null);
+        new Part(brief, 1, 0.5, null);
+        given.decide.turnEnded(ms(0));
+        assertEquals(List.of("rejected"), given.ended);
+    }
+
+    @Test
+    void whatItsClientMayNotWaitForIsTriedWhileNothingIsOut() {
+        repeatable.quietTime = ms(1900);
+        given.query(ms(0), repeatable, 2);
+        given.decide.turnEnded(ms(0));
+        assertEquals(2, given.sent.size());
+    }
+
+    @Test
+    void manyRoutersDrawLotsForAColdNode() {
+        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 100, ms(20));
+        Fleet fleet = new Fleet(1, 1);
+        DataNode node = new DataNode(0, new Zone(true));
+        node.workSent = cold.ring();
+        node.startedAt = ms(0);
+        fleet.add(node);
+        node.lot = 0.01;
+        assertTrue(cold.allows(ms(10), node, ms(80), fleet));
+        cold.sent(ms(10), node, ms(80));
+        assertFalse(cold.allows(ms(500), node, ms(80), fleet));
+        node.lot = 0.99;
+        assertFalse(cold.allows(ms(2000), node, ms(80), fleet));
+    }
+
+    /** Calls to so many nodes of another zone, of which the first so many fail; the last node stays untouched. */
+    private DataNode otherZone(int called, int failed) {
+        Zone zone = new Zone(false);
+        Query q = new Query(repeatable, null, ms(0), Given.DEADLINE);
+        for (int i = 0; i < called; i++) {
+            DataNode node = new DataNode(0, zone);
+            given.decide.nodeListed(node, Readiness.READY, null);
+            ends(given, ms(100), new LeafCall(new Part(q, i, 0.1, null), node, ms(0), null),
+                    i < failed ? Outcome.UNREACHABLE : Outcome.MERGED);
+        }
+        DataNode untouched = new DataNode(0, zone);
+        given.decide.nodeListed(untouched, Readiness.READY, null);
+        for (DataNode node : given.nodes) {
+            new LeafCall(new Part(q, 9, 0.1, null), node, ms(100), null);
+        }
+        given.query(ms(100), repeatable, 1);
+        given.decide.turnEnded(ms(100));
+        return untouched;
+    }
+
+    @Test
+    void aZoneWhoseCallsMostlyFailIsShunnedWithItsUntriedNodes() {
+        DataNode untouched = otherZone(4, 4);
+        assertTrue(given.nodes.contains(given.sent.get(0).node));
+        assertNotSame(untouched, given.sent.get(0).node);
+    }
+
+    @Test
+    void aFewFailuresAccuseNoZone() {
+        otherZone(4, 1);
+        assertFalse(given.nodes.contains(given.sent.get(0).node));
+    }
 }
