--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -653,7 +653,9 @@
         Duration usual = usualTime(now, v, OVERDUE_TIMES);
         Duration least = times(v.sloTime, OVERDUE_LEAST);
         Duration most = times(v.sloTime, OVERDUE_MOST);
-        return usual.compareTo(least) < 0 ? least : usual.compareTo(most) > 0 ? v.sloTime : usual;
+        // A recall throws away the wait, so without time for a second run there is none; a copy loses nothing.
+        return usual.compareTo(least) < 0 ? least : usual.compareTo(most) <= 0 ? usual
+                : calls.mayDuplicate ? most : v.sloTime;
     }
 
     /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
