--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -387,7 +387,7 @@
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
         int spares = open.stream().mapToInt(other -> Math.max(0, other.out() - other.alpha())).sum();
-        // Where the window is narrow, spares would lengthen the wait that they are to shorten.
+        // Where the window is narrow, a spare would lengthen the wait that it is to shorten.
         if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
                 || q.anyN() && q.out() > q.alpha()) {
             return false;
@@ -429,11 +429,8 @@
 
     /** A leaf call runs as long as its answer is of use; a side-effecting one as long as its client waits. */
     private static Duration timeout(Duration now, Query q) {
-        if (q.vertical.effect == Effect.SIDE_EFFECTING) {
-            return null;
-        }
         Duration useful = (q.vertical.lateUtility > 0 ? q.deadline : q.sloAt()).minus(now);
-        return useful.compareTo(LOOK) < 0 ? LOOK : useful;
+        return q.vertical.effect == Effect.SIDE_EFFECTING ? null : max(LOOK, useful);
     }
 
     /**
@@ -651,11 +648,12 @@
 
     private Duration overdueAfter(Duration now, Vertical v) {
         Duration usual = usualTime(now, v, OVERDUE_TIMES);
-        Duration least = times(v.sloTime, OVERDUE_LEAST);
         Duration most = times(v.sloTime, OVERDUE_MOST);
-        // A recall throws away the wait, so without time for a second run there is none; a copy loses nothing.
-        return usual.compareTo(least) < 0 ? least : usual.compareTo(most) <= 0 ? usual
-                : calls.mayDuplicate ? most : v.sloTime;
+        if (usual.compareTo(most) > 0) {
+            // A recall throws away the wait: none without time for a second run. A copy loses nothing.
+            return calls.mayDuplicate ? most : v.sloTime;
+        }
+        return max(usual, times(v.sloTime, OVERDUE_LEAST));
     }
 
     /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
@@ -696,16 +694,18 @@
     }
 
     private boolean maySendNow(Duration now, Part part) {
-        boolean alone = part.out.isEmpty()
-                || part.query.vertical.effect == Effect.REPEATABLE && calls.mayDuplicate
-                && part.out.size() < 2;
-        return alone && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
+        boolean copy = calls.mayDuplicate && part.query.vertical.effect == Effect.REPEATABLE;
+        return (part.out.isEmpty() || copy && part.out.size() < 2) && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
     }
 
     private static Duration min(Duration a, Duration b) {
         return a.compareTo(b) < 0 ? a : b;
     }
 
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? b : a;
+    }
+
     private static Duration times(Duration span, double factor) {
         return Duration.ofNanos(Math.round(span.toNanos() * factor));
     }
