--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -27,8 +27,6 @@
     private static final double START_SHARE_LITTLE = 0.1;
     /** Share of the window up to which a query worth little is begun, and from which the window is in use. */
     private static final double IN_USE_SHARE = 0.6;
-    /** Times the usual time that the slowest of many parts takes. */
-    private static final double SLOWEST_TIMES = 2.5;
     /** Oldest open queries that compete for slots: more than most limits allow, and it bounds a turn. */
     private static final int CANDIDATES = 48;
     /** Share of parts in flight that may be spares, as the design page has it. */
@@ -38,8 +36,8 @@
     /** Shares of the SLO time between which a leaf call becomes overdue: room is left for a second try. */
     private static final double OVERDUE_LEAST = 0.15;
     private static final double OVERDUE_MOST = 0.6;
-    /** Times the usual time: past this a leaf call is no longer just unlucky. */
-    private static final double OVERDUE_TIMES = 2.5;
+    /** Times the usual time that the slowest of many parts takes: past this one is no longer just unlucky. */
+    private static final double SLOWEST_TIMES = 2.5;
     /** Times the middle node's slowness, from which a node is held to be slow. */
     private static final double SLOW_TIMES = 3;
     /** How long a slow or failing node is remembered without a new answer; a few queries' worth. */
@@ -647,7 +645,7 @@
     }
 
     private Duration overdueAfter(Duration now, Vertical v) {
-        Duration usual = usualTime(now, v, OVERDUE_TIMES);
+        Duration usual = usualTime(now, v, SLOWEST_TIMES);
         Duration most = times(v.sloTime, OVERDUE_MOST);
         if (usual.compareTo(most) > 0) {
             // A recall throws away the wait: none without time for a second run. A copy loses nothing.
@@ -695,7 +693,8 @@
 
     private boolean maySendNow(Duration now, Part part) {
         boolean copy = calls.mayDuplicate && part.query.vertical.effect == Effect.REPEATABLE;
-        return (part.out.isEmpty() || copy && part.out.size() < 2) && mayStillSend(now, part) && (part.calls.isEmpty() || further.allowed(now));
+        return (part.out.isEmpty() || copy && part.out.size() < 2) && mayStillSend(now, part)
+                && (part.calls.isEmpty() || further.allowed(now));
     }
 
     private static Duration min(Duration a, Duration b) {
