--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -250,6 +250,7 @@
         }
         assertTrue(held.beyondShare(ms(30), loud));
         assertFalse(held.beyondShare(ms(30), quiet));
+        assertFalse(new Decide.Held(100, 10, 0.1, null).beyondShare(ms(0), new Customer(1.0)));
     }
 
     @Test
