Spares counted only where one is in question; what nothing reads goes

Reading the change once more, no decision changed: spares were summed over all open queries for every part sent, also where none was in question; a call's overdue time was reckoned three times to tell whether it is lost; a vertical's deadline had no reader since the vote on last tries went; tests began a query in the same two lines nineteen times.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -72,7 +72,7 @@
     private static final double COLD_CALLS = 8;
     /** Share of the limit on held queries and parts from which the router is crowded. */
     private static final double CROWDED_SHARE = 0.7;
-    /** How long a customer's queries are counted against its share, and how many it may be ahead. */
+    /** How long customers' queries and this router's work are counted; queries a customer may be ahead. */
     private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
     private static final double SHARE_AHEAD = 2;
     /** Time between looks at open queries: fine beside SLO times, coarse beside a turn. */
@@ -384,9 +384,8 @@
 
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
-        int spares = open.stream().mapToInt(other -> Math.max(0, other.out() - other.alpha())).sum();
         // Where the window is narrow, a spare would lengthen the wait that it is to shorten.
-        if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
+        if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares() + 1 > SPARE_SHARE * (inFlight + 1))
                 || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
@@ -414,6 +413,11 @@
         return bestPart != null;
     }
 
+    /** Spares in flight: parts out beyond what their queries still need. */
+    private int spares() {
+        return open.stream().mapToInt(q -> Math.max(0, q.out() - q.alpha())).sum();
+    }
+
     private void send(Duration now, Part part, DataNode node) {
         if (!part.calls.isEmpty()) {
             further.sent().add(now, 1);
@@ -654,21 +658,18 @@
         return max(usual, times(v.sloTime, OVERDUE_LEAST));
     }
 
-    /** A call to a node that is left alone is overdue at once: its answer is not counted on. */
-    private boolean overdue(Duration now, LeafCall call) {
-        return call.node.avoidUntil != null
-                || now.minus(overdueAfter(now, call.part.query.vertical)).compareTo(call.sentAt) > 0;
-    }
-
-    /** Its node has answered nothing for as long; what came beside it in the same call tells little. */
+    /** Overdue, and its node has answered nothing for as long; at once where the node is left alone. */
     private boolean silent(Duration now, LeafCall call) {
-        return overdue(now, call) && (call.node.avoidUntil != null
-                || !call.node.answeredSince(now.minus(overdueAfter(now, call.part.query.vertical))));
+        Duration since = now.minus(overdueAfter(now, call.part.query.vertical));
+        return call.node.avoidUntil != null
+                || since.compareTo(call.sentAt) > 0 && !call.node.answeredSince(since);
     }
 
-    /** Silent, or overtaken: the node has answered a call sent later. One that only waits is not lost. */
+    /** Silent, or overdue and overtaken by a call sent later. One that only waits its turn is not lost. */
     private boolean lost(Duration now, LeafCall call) {
-        return silent(now, call) || overdue(now, call) && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
+        Duration since = now.minus(overdueAfter(now, call.part.query.vertical));
+        return silent(now, call) || since.compareTo(call.sentAt) > 0
+                && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
     }
 
     private static Duration quiet(Vertical v) {
@@ -826,10 +827,7 @@
         }
 
         Duration comeBack(boolean crowded) {
-            if (!crowded || longestComeBack == null) {
-                return Duration.ZERO;
-            }
-            return min(COME_BACK, longestComeBack);
+            return crowded && longestComeBack != null ? min(COME_BACK, longestComeBack) : Duration.ZERO;
         }
     }
 }
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -87,9 +87,8 @@
         Double shortUtility = info.listed("domain.shortWorth", i);
         Double followUp = info.listed("domain.followUp", i);
         double whole = need == null ? 1 : need;
-        return new Vertical(info.span(path + "promise"), info.span(path + "deadline"), effect,
-                info.span(path + "repeatWindow"), utility == null ? 1 : utility,
-                late == null ? 0 : late, whole, floor == null ? whole : floor,
+        return new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
+                utility == null ? 1 : utility, late == null ? 0 : late, whole, floor == null ? whole : floor,
                 shortUtility == null ? 0 : shortUtility, followUp == null ? 0 : followUp.intValue());
     }
 
--- a/src/main/java/postbeam/state/Vertical.java
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -5,8 +5,6 @@
 /** A kind of query: what its clients were promised, and what has been seen of its parts. */
 public final class Vertical {
     public final Duration sloTime;
-    /** The time a client waits for all its tries together; null where not stated. */
-    public final Duration deadline;
     public final Effect effect;
     /** How long a repeat of a deduplicated part is dropped; null where not stated. */
     public final Duration repeatWindow;
@@ -24,10 +22,9 @@
     /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
     public Duration quietTime;
 
-    public Vertical(Duration sloTime, Duration deadline, Effect effect, Duration repeatWindow, double utility,
-            double lateUtility, double need, double floor, double shortUtility, int followUp) {
+    public Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
+            double need, double floor, double shortUtility, int followUp) {
         this.sloTime = sloTime;
-        this.deadline = deadline;
         this.effect = effect;
         this.repeatWindow = repeatWindow;
         this.utility = utility;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -34,17 +34,14 @@
     @Test
     void theQueryNearestCompletionGetsTheFreeSlot() {
         given.query(ms(0), repeatable, 5);
-        Query small = given.query(ms(0), repeatable, 2);
-        given.decide.turnEnded(ms(0));
+        Query small = given.begun(repeatable, 2);
         assertEquals(List.of(small, small), given.sent.subList(0, 2).stream().map(c -> c.part.query).toList());
     }
 
     @Test
     void anyNAnswersOnTheFirstNAndCancelsTheRest() {
-        given.query(ms(0), Given.vertical(Effect.REPEATABLE, 1), 12);
-        given.decide.turnEnded(ms(0));
-        given.query(ms(0), Given.vertical(Effect.REPEATABLE, 0.5), 4);
-        given.decide.turnEnded(ms(0));
+        given.begun(Given.vertical(Effect.REPEATABLE, 1), 12);
+        given.begun(Given.vertical(Effect.REPEATABLE, 0.5), 4);
         List<LeafCall> mine = given.sent.stream().filter(c -> c.part.query.vertical.anyN()).toList();
         assertEquals(3, mine.size());
         ends(given, ms(100), mine.get(0), Outcome.MERGED);
@@ -56,15 +53,13 @@
 
     @Test
     void partsOfOneQueryShareOneOffset() {
-        given.query(ms(0), repeatable, 3);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 3);
         assertEquals(1, given.sent.stream().map(c -> c.node).distinct().count());
     }
 
     @Test
     void aSideEffectingPartThatMayHaveRunIsNeitherSentAgainNorRejected() {
-        given.query(ms(0), Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
-        given.decide.turnEnded(ms(0));
+        given.begun(Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
         ends(given, ms(500), given.sent.get(0), Outcome.RESET);
         given.decide.turnEnded(ms(500));
         assertEquals(1, given.sent.size());
@@ -73,8 +68,7 @@
 
     @Test
     void aSideEffectingPartThatNeverRanGoesElsewhere() {
-        given.query(ms(0), Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
-        given.decide.turnEnded(ms(0));
+        given.begun(Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
         ends(given, ms(5), given.sent.get(0), Outcome.FULL);
         given.decide.turnEnded(ms(5));
         assertEquals(2, given.sent.size());
@@ -83,8 +77,7 @@
 
     @Test
     void aDeduplicatedPartIsNotSentAgainPastItsWindow() {
-        Query q = given.query(ms(0), Given.vertical(Effect.DEDUPLICATED, 1), 1);
-        given.decide.turnEnded(ms(0));
+        Query q = given.begun(Given.vertical(Effect.DEDUPLICATED, 1), 1);
         ends(given, ms(2990), given.sent.get(0), Outcome.RESET);
         given.decide.turnEnded(ms(2990));
         assertEquals(1, given.sent.size());
@@ -94,8 +87,7 @@
     @Test
     void noSecondCopyWhereItIsBarred() {
         Given barred = new Given(3, false);
-        barred.query(ms(0), repeatable, 1);
-        barred.decide.turnEnded(ms(0));
+        barred.begun(repeatable, 1);
         barred.decide.turnEnded(ms(1500));
         assertEquals(1, barred.sent.size());
         assertEquals(1, barred.cancelled.size());
@@ -106,8 +98,7 @@
 
     @Test
     void theLastWordComesBeforeTheClientLeaves() {
-        given.query(ms(0), repeatable, 1);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 1);
         given.decide.turnEnded(Given.DEADLINE.minus(ms(30)));
         assertEquals(List.of("rejected"), given.ended);
     }
@@ -148,8 +139,7 @@
 
     @Test
     void aNodeThatSwallowsACallIsLeftAloneAndProbed() {
-        given.query(ms(0), repeatable, 1);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 1);
         LeafCall call = given.sent.get(0);
         ends(given, ms(1200), call, Outcome.CANCELLED);
         assertNotNull(call.node.avoidUntil);
@@ -161,8 +151,7 @@
 
     @Test
     void aNodeThatRejectsAtOnceDrawsNoMoreParts() {
-        given.query(ms(0), repeatable, 2);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 2);
         DataNode full = given.sent.get(0).node;
         ends(given, ms(1), given.sent.get(0), Outcome.FULL);
         ends(given, ms(1), given.sent.get(1), Outcome.FULL);
@@ -174,8 +163,7 @@
     @Test
     void suspicionNeverShutsOutAllReplicas() {
         given.nodes.forEach(n -> n.avoidUntil = ms(5000));
-        given.query(ms(0), repeatable, 1);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 1);
         assertEquals(1, given.sent.size());
     }
 
@@ -194,17 +182,15 @@
 
     @Test
     void aLateQueryWhosePartsAreAllOutIsKept() {
-        Query q = given.query(ms(0), repeatable, 2);
-        given.decide.turnEnded(ms(0));
+        Query q = given.begun(repeatable, 2);
         given.decide.turnEnded(Given.SLO.plus(ms(100)));
         assertFalse(q.ended);
     }
 
     @Test
     void anHonestPartialAnswerComesBeforeTheSloTimePasses() {
-        Vertical floored = new Vertical(Given.SLO, Given.DEADLINE, Effect.REPEATABLE, null, 1, 0.1, 1, 0.5, 0.9, 0);
-        given.query(ms(0), floored, 2);
-        given.decide.turnEnded(ms(0));
+        Vertical floored = new Vertical(Given.SLO, Effect.REPEATABLE, null, 1, 0.1, 1, 0.5, 0.9, 0);
+        given.begun(floored, 2);
         ends(given, ms(100), given.sent.get(0), Outcome.MERGED);
         given.decide.turnEnded(ms(1900));
         assertEquals(List.of(), given.ended);
@@ -255,8 +241,7 @@
 
     @Test
     void aPartLostBesideAnsweredOnesOfItsCallGetsACopy() {
-        given.query(ms(0), repeatable, 2);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 2);
         ends(given, ms(100), given.sent.get(0), Outcome.MERGED);
         given.decide.turnEnded(ms(500));
         assertEquals(3, given.sent.size());
@@ -265,8 +250,7 @@
 
     @Test
     void rejectionsOfOneTurnsCallsHalveTheWindowOnce() {
-        given.query(ms(0), repeatable, 40);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 40);
         assertEquals(32, given.sent.size());
         for (LeafCall call : List.copyOf(given.sent)) {
             ends(given, ms(50), call, Outcome.FULL);
@@ -280,8 +264,7 @@
         for (boolean mayDuplicate : List.of(true, false)) {
             Given at = new Given(3, mayDuplicate);
             Vertical vertical = Given.vertical(Effect.REPEATABLE, 1);
-            at.query(ms(0), vertical, 1);
-            at.decide.turnEnded(ms(0));
+            at.begun(vertical, 1);
             vertical.quietTime = ms(600);
             at.decide.turnEnded(ms(1300));
             assertEquals(mayDuplicate ? 2 : 1, at.sent.size());
@@ -291,8 +274,7 @@
 
     @Test
     void whatItsClientWillNotWaitForIsRejectedUnbegun() {
-        given.query(ms(0), repeatable, 2);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 2);
         repeatable.quietTime = ms(300);
         Query brief = new Query(repeatable, null, ms(0), ms(500));
         given.decide.queryArrived(ms(0), brief);
@@ -305,8 +287,7 @@
     @Test
     void whatItsClientMayNotWaitForIsTriedWhileNothingIsOut() {
         repeatable.quietTime = ms(1900);
-        given.query(ms(0), repeatable, 2);
-        given.decide.turnEnded(ms(0));
+        given.begun(repeatable, 2);
         assertEquals(2, given.sent.size());
     }
 
--- a/src/test/java/postbeam/Given.java
+++ b/src/test/java/postbeam/Given.java
@@ -42,7 +42,7 @@
     }
 
     static Vertical vertical(Effect effect, double need) {
-        return new Vertical(SLO, DEADLINE, effect, ms(3000), 1, 0.1, need, need, 0.9, 0);
+        return new Vertical(SLO, effect, ms(3000), 1, 0.1, need, need, 0.9, 0);
     }
 
     /** A query that has arrived with so many parts of equal weight. */
@@ -55,6 +55,13 @@
         return q;
     }
 
+    /** The same at the start, once its turn has ended. */
+    Query begun(Vertical vertical, int parts) {
+        Query q = query(ms(0), vertical, parts);
+        decide.turnEnded(ms(0));
+        return q;
+    }
+
     @Override
     public void send(LeafCall call) {
         sent.add(call);
