--- a/src/main/java/postbeam/benchlink/Door.java
+++ b/src/main/java/postbeam/benchlink/Door.java
@@ -15,6 +15,9 @@
 import java.util.NoSuchElementException;
 import java.util.Set;
 import postbeam.Decide;
+import postbeam.roster.Entry;
+import postbeam.setup.Info;
+import postbeam.state.Readiness;
 
 /** The simulator's wire: reads batches of events, hands each to its instance, writes one reply a batch. */
 public final class Door {
@@ -106,7 +109,7 @@
             case "INGRESS" -> instance.taken(now, in);
             case "REPORT_BACK" -> instance.reportedBack(now, in);
             case "RING" -> instance.decide().woken(now);
-            case "REGISTRY" -> registry(instance, now);
+            case "REGISTRY" -> registry(instance);
             case "ABANDONED" -> instance.abandoned(now, in);
             case "CHECKED" -> instance.probed(now, in);
             // No vertical is streamed, and the routers tell each other nothing.
@@ -115,7 +118,7 @@
         }
     }
 
-    private void registry(Instance instance, Duration now) {
+    private void registry(Instance instance) {
         int slot = (int) in.number(0);
         int scope = (int) in.number();
         if (scope == SCOPE_FAILED) {
@@ -125,7 +128,7 @@
         if (entries == null) {
             throw new IllegalArgumentException("no list " + slot);
         }
-        instance.listed(now, entries, scope == SCOPE_FULL || scope == SCOPE_CACHED);
+        instance.listed(entries, scope == SCOPE_FULL || scope == SCOPE_CACHED);
     }
 
     private void readList() throws IOException {
@@ -136,11 +139,27 @@
             if (!in.next() || !"ROW".equals(in.field())) {
                 throw in.malformed("the list has too few rows");
             }
-            entries.add(Entry.read(in));
+            entries.add(row());
         }
         lists.put(slot, entries);
     }
 
+    private Entry row() {
+        String zone = in.field();
+        int cell = (int) in.number(0);
+        String address = in.text();
+        in.field();
+        long started = in.number(0);
+        in.field();
+        Readiness readiness = switch ((int) in.number()) {
+            case 0 -> Readiness.GONE;
+            case 1 -> Readiness.READY;
+            case 2 -> Readiness.DRAINING;
+            default -> throw new IllegalArgumentException("unknown readiness");
+        };
+        return new Entry(address, zone, cell, started, readiness);
+    }
+
     /** A failure of the decisions is told to the simulator; a field that can't be read ends the run. */
     private void decided(Instance instance, Runnable step) {
         try {
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -1,26 +1,24 @@
 package postbeam.benchlink;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import postbeam.Decide;
 import postbeam.Host;
+import postbeam.roster.Entry;
+import postbeam.roster.Roster;
+import postbeam.setup.Assembly;
+import postbeam.setup.Info;
 import postbeam.state.Customer;
 import postbeam.state.DataNode;
-import postbeam.state.Effect;
-import postbeam.state.Fleet;
 import postbeam.state.LeafCall;
 import postbeam.state.Outcome;
 import postbeam.state.Part;
 import postbeam.state.Query;
-import postbeam.state.Readiness;
 import postbeam.state.Vertical;
-import postbeam.state.Zone;
 
 /** One instance at the door: turns ids into objects and back, and writes what its Decide has done. */
 final class Instance implements Host {
@@ -29,13 +27,9 @@
     private final int id;
     private final long startMicros;
     private final StringBuilder out;
-    private final String zone;
-    private final Fleet fleet;
-    private final Map<String, Vertical> verticals = new LinkedHashMap<>();
-    private final Map<String, Customer> customers = new LinkedHashMap<>();
-    private final Map<String, DataNode> nodes = new LinkedHashMap<>();
-    private final Map<String, Zone> zones = new LinkedHashMap<>();
-    private final Map<DataNode, String> addresses = new IdentityHashMap<>();
+    private final Roster roster;
+    private final Map<String, Vertical> verticals;
+    private final Map<String, Customer> customers;
     private final Map<String, Query> queries = new HashMap<>();
     private final Map<Long, Query> byNumber = new HashMap<>();
     private final Map<Query, Long> numbers = new IdentityHashMap<>();
@@ -47,49 +41,10 @@
         this.id = id;
         this.startMicros = nowMicros;
         this.out = out;
-        this.zone = info.text("zone");
-        Integer cells = info.whole("domain.cells");
-        Integer reach = info.whole("domain.reach");
-        if (cells == null || reach == null) {
-            throw new IllegalArgumentException("domain.cells or domain.reach is not stated");
-        }
-        this.fleet = new Fleet(cells, reach);
-        for (int i = 0; i < info.count("classes"); i++) {
-            verticals.put(info.text("classes." + i + ".name"), vertical(info, "classes." + i + ".", i));
-        }
-        for (int i = 0; i < info.count("tenants"); i++) {
-            customers.put(info.text("tenants." + i + ".name"),
-                    new Customer(info.number("tenants." + i + ".quotaPerS")));
-        }
-        Integer routers = info.whole("nInstances");
-        this.decide = new Decide(this, new Random(seed), fleet,
-                new Decide.Held(info.whole("caps.mostHeld"), routers, info.number("overShareWorth"),
-                        info.span("caps.maxRetryAfter")),
-                new Decide.Calls(info.whole("caps.maxAttempts"), info.flag("caps.mayDuplicate"),
-                        info.flag("caps.cancelling"), info.flag("caps.probes")),
-                new Decide.FurtherCalls(info.number("obligations.spareAttempts"),
-                        info.number("obligations.budgetShare"), info.span("obligations.extraWindow")),
-                new Decide.ColdPacing(info.number("obligations.coldFrom"), info.span("obligations.rampTime"),
-                        info.number("obligations.fallMultiple"), info.span("obligations.fall"), routers,
-                        info.span("domain.callCost")));
-    }
-
-    private static Vertical vertical(Info info, String path, int i) {
-        Effect effect = switch (String.valueOf(info.text(path + "effect"))) {
-            case "retryable" -> Effect.REPEATABLE;
-            case "dedup" -> Effect.DEDUPLICATED;
-            default -> Effect.SIDE_EFFECTING;
-        };
-        Double utility = info.number(path + "worth");
-        Double late = info.number(path + "lateWorth");
-        Double need = info.listed("domain.classNeed", i);
-        Double floor = info.listed("domain.leastShare", i);
-        Double shortUtility = info.listed("domain.shortWorth", i);
-        Double followUp = info.listed("domain.followUp", i);
-        double whole = need == null ? 1 : need;
-        return new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
-                utility == null ? 1 : utility, late == null ? 0 : late, whole, floor == null ? whole : floor,
-                shortUtility == null ? 0 : shortUtility, followUp == null ? 0 : followUp.intValue());
+        this.roster = new Roster(info.text("zone"));
+        this.verticals = Assembly.verticals(info);
+        this.customers = Assembly.customers(info);
+        this.decide = Assembly.decide(this, new Random(seed), Assembly.fleet(info), info);
     }
 
     Decide decide() {
@@ -102,31 +57,8 @@
 
     // ---- in: the host list
 
-    void listed(Duration now, List<Entry> entries, boolean whole) {
-        Map<String, Entry> seen = new HashMap<>();
-        for (Entry entry : entries) {
-            seen.put(entry.address(), entry);
-            DataNode node = nodes.get(entry.address());
-            if (node == null) {
-                if (entry.readiness() == Readiness.GONE) {
-                    continue;
-                }
-                node = new DataNode(entry.cell(), zones.computeIfAbsent(String.valueOf(entry.zone()),
-                        name -> new Zone(name.equals(zone))));
-                nodes.put(entry.address(), node);
-                addresses.put(node, entry.address());
-            }
-            decide.nodeListed(node, entry.readiness(),
-                    entry.startedMicros() == 0 ? null : since(entry.startedMicros()));
-        }
-        if (whole) {
-            for (Map.Entry<String, DataNode> known : new ArrayList<>(nodes.entrySet())) {
-                if (!seen.containsKey(known.getKey())) {
-                    DataNode node = known.getValue();
-                    decide.nodeListed(node, Readiness.GONE, node.startedAt);
-                }
-            }
-        }
+    void listed(List<Entry> entries, boolean whole) {
+        roster.listed(entries, whole, this::since, decide);
     }
 
     // ---- in: queries, parts, leaf calls
@@ -189,7 +121,7 @@
     }
 
     void probed(Duration now, Lines in) {
-        DataNode node = nodes.get(in.text());
+        DataNode node = roster.node(in.text());
         Outcome outcome = outcome(in.text());
         if (node != null) {
             decide.probed(now, node, outcome == Outcome.MERGED);
@@ -246,7 +178,7 @@
 
     @Override
     public void send(LeafCall call) {
-        action("ATTEMPT").append('\t').append(ids.get(call.part)).append('\t').append(addresses.get(call.node))
+        action("ATTEMPT").append('\t').append(ids.get(call.part)).append('\t').append(roster.name(call.node))
                 .append('\t').append(call.timeout == null ? 0 : micros(call.timeout)).append('\n');
     }
 
@@ -281,7 +213,7 @@
 
     @Override
     public void probe(DataNode node) {
-        action("SAMPLE").append('\t').append(addresses.get(node)).append('\n');
+        action("SAMPLE").append('\t').append(roster.name(node)).append('\n');
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/postbeam/roster/Roster.java
@@ -0,0 +1,63 @@
+package postbeam.roster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongFunction;
+import postbeam.Decide;
+import postbeam.state.DataNode;
+import postbeam.state.Readiness;
+import postbeam.state.Zone;
+
+/** The data nodes that one router was told of, by name: turns what a list says into facts for its Decide. */
+public final class Roster {
+    private final String ourZone;
+    private final Map<String, DataNode> nodes = new LinkedHashMap<>();
+    private final Map<String, Zone> zones = new LinkedHashMap<>();
+    private final Map<DataNode, String> names = new IdentityHashMap<>();
+
+    public Roster(String ourZone) {
+        this.ourZone = ourZone;
+    }
+
+    public DataNode node(String name) {
+        return nodes.get(name);
+    }
+
+    public String name(DataNode node) {
+        return names.get(node);
+    }
+
+    /** Takes over a whole list, from which what is missing is gone, or changes of one. */
+    public void listed(List<Entry> entries, boolean whole, LongFunction<Duration> since, Decide decide) {
+        Set<String> seen = new HashSet<>();
+        for (Entry entry : entries) {
+            seen.add(entry.name());
+            DataNode node = nodes.get(entry.name());
+            if (node == null) {
+                if (entry.readiness() == Readiness.GONE) {
+                    continue;
+                }
+                node = new DataNode(entry.cell(), zones.computeIfAbsent(String.valueOf(entry.zone()),
+                        name -> new Zone(name.equals(ourZone))));
+                nodes.put(entry.name(), node);
+                names.put(node, entry.name());
+            }
+            decide.nodeListed(node, entry.readiness(),
+                    entry.startedMicros() == 0 ? null : since.apply(entry.startedMicros()));
+        }
+        if (whole) {
+            for (Map.Entry<String, DataNode> known : new ArrayList<>(nodes.entrySet())) {
+                if (!seen.contains(known.getKey())) {
+                    DataNode node = known.getValue();
+                    decide.nodeListed(node, Readiness.GONE, node.startedAt);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -0,0 +1,71 @@
+package postbeam.setup;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import postbeam.Decide;
+import postbeam.Host;
+import postbeam.state.Customer;
+import postbeam.state.Effect;
+import postbeam.state.Fleet;
+import postbeam.state.Vertical;
+
+/** Builds what the decisions need from the settings that an instance is told, for every door alike. */
+public final class Assembly {
+    private Assembly() {}
+
+    public static Fleet fleet(Info info) {
+        return new Fleet(info.atLeast("domain.cells", 1), info.atLeast("domain.reach", 1));
+    }
+
+    public static Map<String, Vertical> verticals(Info info) {
+        Map<String, Vertical> verticals = new LinkedHashMap<>();
+        for (int i = 0; i < info.count("classes"); i++) {
+            String path = "classes." + i + ".";
+            verticals.put(info.needed(path + "name"), vertical(info, path, i));
+        }
+        return verticals;
+    }
+
+    private static Vertical vertical(Info info, String path, int i) {
+        Effect effect = switch (String.valueOf(info.text(path + "effect"))) {
+            case "retryable" -> Effect.REPEATABLE;
+            case "dedup" -> Effect.DEDUPLICATED;
+            default -> Effect.SIDE_EFFECTING;
+        };
+        info.needed(path + "promise");
+        Double utility = info.number(path + "worth");
+        Double late = info.number(path + "lateWorth");
+        Double need = info.listed("domain.classNeed", i);
+        Double floor = info.listed("domain.leastShare", i);
+        Double shortUtility = info.listed("domain.shortWorth", i);
+        Double followUp = info.listed("domain.followUp", i);
+        double whole = need == null ? 1 : need;
+        return new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
+                utility == null ? 1 : utility, late == null ? 0 : late, whole, floor == null ? whole : floor,
+                shortUtility == null ? 0 : shortUtility, followUp == null ? 0 : followUp.intValue());
+    }
+
+    public static Map<String, Customer> customers(Info info) {
+        Map<String, Customer> customers = new LinkedHashMap<>();
+        for (int i = 0; i < info.count("tenants"); i++) {
+            customers.put(info.needed("tenants." + i + ".name"),
+                    new Customer(info.number("tenants." + i + ".quotaPerS")));
+        }
+        return customers;
+    }
+
+    public static Decide decide(Host host, Random chance, Fleet fleet, Info info) {
+        Integer routers = info.whole("nInstances");
+        return new Decide(host, chance, fleet,
+                new Decide.Held(info.whole("caps.mostHeld"), routers, info.number("overShareWorth"),
+                        info.span("caps.maxRetryAfter")),
+                new Decide.Calls(info.whole("caps.maxAttempts"), info.flag("caps.mayDuplicate"),
+                        info.flag("caps.cancelling"), info.flag("caps.probes")),
+                new Decide.FurtherCalls(info.number("obligations.spareAttempts"),
+                        info.number("obligations.budgetShare"), info.span("obligations.extraWindow")),
+                new Decide.ColdPacing(info.number("obligations.coldFrom"), info.span("obligations.rampTime"),
+                        info.number("obligations.fallMultiple"), info.span("obligations.fall"), routers,
+                        info.span("domain.callCost")));
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/setup/Info.java
@@ -0,0 +1,117 @@
+package postbeam.setup;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** What an instance is told at its start, as path=value pairs; what is absent is null. */
+public final class Info {
+    private final Map<String, String> values = new LinkedHashMap<>();
+    /** Stands before a path where a message names it. */
+    private final String prefix;
+
+    /** Empty; to be filled pair by pair. */
+    public Info() {
+        this.prefix = "";
+    }
+
+    /** From an object of JSON, whose nested names become paths; messages name its paths with the prefix. */
+    public Info(Map<String, Object> object, String prefix) {
+        this.prefix = prefix;
+        object.forEach(this::flatten);
+    }
+
+    public void put(String pair) {
+        int eq = pair.indexOf('=');
+        if (eq < 0) {
+            throw new IllegalArgumentException("no = in " + pair);
+        }
+        values.put(pair.substring(0, eq), pair.substring(eq + 1));
+    }
+
+    private void flatten(String path, Object value) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((name, inner) -> flatten(path + "." + name, inner));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            values.put(path + ".count", String.valueOf(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i));
+            }
+        } else if (value instanceof List<?> list) {
+            values.put(path, list.stream().map(String::valueOf).collect(Collectors.joining(",")));
+        } else if (value != null) {
+            values.put(path, String.valueOf(value));
+        }
+    }
+
+    public String text(String path) {
+        String value = values.get(path);
+        return value == null || value.isEmpty() || value.equals("-") ? null : value;
+    }
+
+    /** The value, which must be there. */
+    public String needed(String path) {
+        String value = text(path);
+        if (value == null) {
+            throw bad(path, "is missing");
+        }
+        return value;
+    }
+
+    public Double number(String path) {
+        String value = text(path);
+        return value == null ? null : parsed(path, value);
+    }
+
+    public Integer whole(String path) {
+        Double value = number(path);
+        return value == null ? null : (int) Math.round(value);
+    }
+
+    /** A whole number that must be there, and at least so large. */
+    public int atLeast(String path, int least) {
+        needed(path);
+        int value = whole(path);
+        if (value < least) {
+            throw bad(path, "must be " + least + " or more, not " + text(path));
+        }
+        return value;
+    }
+
+    public Boolean flag(String path) {
+        String value = text(path);
+        return value == null ? null : value.equals("true") || value.equals("1");
+    }
+
+    public Duration span(String path) {
+        Double value = number(path);
+        return value == null ? null : Duration.ofNanos(Math.round(value * 1000));
+    }
+
+    /** One entry of a list of plain values. */
+    public Double listed(String path, int i) {
+        String value = text(path);
+        List<String> list = value == null ? List.of() : List.of(value.split(","));
+        return i < list.size() ? parsed(path, list.get(i)) : null;
+    }
+
+    public int count(String path) {
+        Integer value = whole(path + ".count");
+        return value == null ? 0 : value;
+    }
+
+    /** What to throw where a value can't be used. */
+    public IllegalArgumentException bad(String path, String what) {
+        return new IllegalArgumentException(prefix + path + " " + what);
+    }
+
+    private Double parsed(String path, String value) {
+        try {
+            return Double.valueOf(value);
+        } catch (NumberFormatException e) {
+            throw bad(path, "is not a number: " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/setup/Json.java
@@ -0,0 +1,68 @@
+package postbeam.setup;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads JSON into maps, lists, strings, numbers and truth values. */
+public final class Json {
+    public static final JsonFactory FACTORY = new JsonFactory();
+
+    private Json() {}
+
+    /** The one object that the bytes hold. */
+    public static Map<String, Object> object(byte[] bytes) throws IOException {
+        try (JsonParser parser = FACTORY.createParser(bytes)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("not a JSON object");
+            }
+            Map<String, Object> read = members(parser);
+            if (parser.nextToken() != null) {
+                throw new IOException("something follows the JSON object");
+            }
+            return read;
+        }
+    }
+
+    private static Map<String, Object> members(JsonParser parser) throws IOException {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String name = parser.currentName();
+            parser.nextToken();
+            map.put(name, value(parser));
+        }
+        return map;
+    }
+
+    private static Object value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> members(parser);
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(parser));
+                }
+                yield list;
+            }
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> null;
+        };
+    }
+
+    /** The member as a map, a list, a string or a number; an IOException names it where it is something else. */
+    public static <T> T member(Map<?, ?> object, String name, Class<T> kind) throws IOException {
+        Object value = object.get(name);
+        if (!kind.isInstance(value)) {
+            throw new IOException(name + (value == null ? " is missing" : " is of the wrong kind"));
+        }
+        return kind.cast(value);
+    }
+}
