--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -1,24 +1,108 @@
 package postbeam;
 
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
+import postbeam.router.Router;
+import postbeam.setup.Startup;
 
-/** Command line entry: each way of running postbeam is a subcommand. */
+/** Command line entry: each way of running postbeam is a sub-command. */
 public final class Main {
+    @Parameter(names = {"-h", "--help"}, help = true, description = "Show this help")
+    private boolean help;
+
     private Main() {}
 
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar postbeam.jar benchlink");
-            System.err.println("  benchlink   decide for the simulator's wire on standard input and output");
+    @Parameters(commandDescription = "Run one query router on sockets, until SIGTERM")
+    private static final class Serve {
+        @Parameter(names = "--config", description = "File of JSON; else the one that BALANCER_CONFIG names")
+        private String config = System.getenv("BALANCER_CONFIG");
+    }
+
+    @Parameters(commandDescription = "Decide for the simulator's wire on standard input and output")
+    private static final class Benchlink { }
+
+    @Parameters(commandDescription = "Print the version")
+    private static final class Version { }
+
+    public static void main(String[] args) throws InterruptedException {
+        Main main = new Main();
+        Serve serve = new Serve();
+        JCommander line = JCommander.newBuilder().programName("postbeam").addObject(main)
+                .addCommand("serve", serve).addCommand("benchlink", new Benchlink())
+                .addCommand("version", new Version()).build();
+        try {
+            line.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.err.print(usage(line));
+            System.exit(2);
+        }
+        if (main.help) {
+            System.out.print(usage(line));
+        } else if (line.getParsedCommand() == null) {
+            System.err.print(usage(line));
             System.exit(2);
+        } else {
+            System.exit(switch (line.getParsedCommand()) {
+                case "serve" -> serve(serve.config);
+                case "benchlink" -> benchlink();
+                default -> version();
+            });
+        }
+    }
+
+    private static String usage(JCommander line) {
+        StringBuilder text = new StringBuilder();
+        line.getUsageFormatter().usage(text);
+        return text.toString();
+    }
+
+    private static int serve(String config) throws InterruptedException {
+        Router router;
+        try {
+            router = new Router(Startup.read(config));
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("postbeam: " + e.toString());
+            return 1;
+        }
+        try {
+            router.start();
+        } catch (RuntimeException e) {
+            System.err.println("postbeam: can't listen: " + e.getMessage());
+            return 1;
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            int status = 0;
+            try {
+                router.stop();
+            } catch (InterruptedException | RuntimeException e) {
+                status = 1;
+            }
+            // A process that a signal ends would else report the signal, though all was answered.
+            Runtime.getRuntime().halt(status);
+        }, "stop"));
+        router.await();
+        return 0;
+    }
+
+    private static int benchlink() {
         try {
             new Door(System.in, System.out).run();
-        } catch (MalformedLine e) {
+            return 0;
+        } catch (IOException e) {
             System.err.println("benchlink: " + e.getMessage());
-            System.exit(1);
+            return e instanceof MalformedLine ? 1 : 3;
         }
     }
+
+    private static int version() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        System.out.println("postbeam " + (version == null ? "(not built)" : version));
+        return 0;
+    }
 }
--- /dev/null
+++ b/src/main/java/postbeam/clients/QueryForm.java
@@ -0,0 +1,101 @@
+package postbeam.clients;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import postbeam.router.Asked;
+import postbeam.router.Step;
+import postbeam.setup.Json;
+
+/** The query and the answer in the clients' form. */
+final class QueryForm {
+    private static final HttpString ID = new HttpString("Req-Id");
+    private static final HttpString OWNER = new HttpString("Req-Owner");
+    private static final HttpString DEADLINE = new HttpString("Req-Deadline-Ms");
+    /** Characters: an id travels in each frame. */
+    private static final int LONGEST_ID = 64;
+    /** Milliseconds: a day; no client waits so long. */
+    private static final long LONGEST_WAIT = 86_400_000;
+
+    private QueryForm() {}
+
+    /** An IOException says what can't be used. */
+    static Asked read(HttpServerExchange exchange, byte[] body, String vertical, Set<String> owners, int shards,
+            Duration usualWait) throws IOException {
+        String id = header(exchange, ID);
+        if (id == null || id.length() > LONGEST_ID || !id.chars().allMatch(c -> c > ' ' && c < 127 && c != '.')) {
+            throw new IOException("Req-Id is missing or can't be used");
+        }
+        String owner = header(exchange, OWNER);
+        if (!owners.isEmpty() && !owners.contains(owner)) {
+            throw new IOException("Req-Owner is missing or unknown");
+        }
+        Map<String, Object> query = Json.object(body);
+        Set<Integer> seen = new HashSet<>();
+        List<Asked.AskedPart> parts = new ArrayList<>();
+        for (Object range : Json.member(query, "ranges", List.class)) {
+            if (!(range instanceof Map<?, ?> part)) {
+                throw new IOException("ranges holds something else than objects");
+            }
+            int shard = Json.member(part, "range", Integer.class);
+            double weight = Json.member(part, "portion", Number.class).doubleValue();
+            if (shard < 0 || shard >= shards || !seen.add(shard) || !(weight > 0 && weight <= 1.001)) {
+                throw new IOException("range or portion can't be used: " + shard + ", " + weight);
+            }
+            parts.add(new Asked.AskedPart(shard, weight, part.get("price") instanceof Number micros
+                    && micros.longValue() > 0 ? Duration.ofNanos(micros.longValue() * 1000) : null));
+        }
+        if (parts.isEmpty()) {
+            throw new IOException("ranges is empty");
+        }
+        byte[] text = Json.member(query, "predicate", String.class).getBytes(StandardCharsets.UTF_8);
+        return new Asked(id, vertical, owner, wait(header(exchange, DEADLINE), usualWait), parts, text);
+    }
+
+    private static Duration wait(String header, Duration usual) throws IOException {
+        if (header == null && usual != null) {
+            return usual;
+        }
+        try {
+            long millis = Long.parseLong(String.valueOf(header));
+            if (millis > 0 && millis <= LONGEST_WAIT) {
+                return Duration.ofMillis(millis);
+            }
+        } catch (NumberFormatException e) {
+            // Told below, as a number that can't be used is.
+        }
+        throw new IOException("Req-Deadline-Ms is missing or can't be used");
+    }
+
+    private static String header(HttpServerExchange exchange, HttpString name) {
+        return exchange.getRequestHeaders().getFirst(name);
+    }
+
+    static byte[] write(Step.Answer answer) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = Json.FACTORY.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeBooleanField("total", answer.whole());
+            json.writeArrayFieldStart("answers");
+            for (Step.Value value : answer.values()) {
+                json.writeStartObject();
+                json.writeNumberField("range", value.shard());
+                json.writeFieldName("blob");
+                json.writeUTF8String(value.text(), 0, value.text().length);
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/datanodes/DataNodes.java
@@ -0,0 +1,127 @@
+package postbeam.datanodes;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioIoThread;
+import postbeam.router.Call;
+import postbeam.router.Decisions;
+import postbeam.router.Ending;
+import postbeam.state.Outcome;
+
+/**
+ * The connections to data nodes. All of it lives on one I/O thread; calls from others are handed over to it.
+ * Owner of the connections: each is kept here from its opening until {@link NodeConnection#close}.
+ */
+public final class DataNodes {
+    private static final System.Logger LOG = System.getLogger(DataNodes.class.getName());
+
+    private final XnioIoThread io;
+    private final Decisions decisions;
+    private final int partsAConnection;
+    private final Duration connectWithin;
+    private final Duration idleMost;
+    private final int connectionsMost;
+    private final char probeLetter;
+    private final Map<String, List<NodeConnection>> peers = new LinkedHashMap<>();
+    private int connections;
+
+    public DataNodes(XnioIoThread io, Decisions decisions, int partsAConnection, Duration connectWithin,
+            Duration idleMost, int connectionsMost, boolean loadReports) {
+        this.io = io;
+        this.decisions = decisions;
+        this.partsAConnection = partsAConnection;
+        this.connectWithin = connectWithin;
+        this.idleMost = idleMost;
+        this.connectionsMost = connectionsMost;
+        this.probeLetter = loadReports ? Frames.LOAD_PROBE : Frames.PROBE;
+        io.executeAfter(this::sweep, sweepEvery(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends these calls to the node at the address, together in one frame; may be called on any thread. */
+    public void send(String address, List<Call> calls) {
+        io.execute(() -> {
+            NodeConnection connection = connection(address, calls.size());
+            if (connection == null) {
+                decisions.report(calls.stream().map(call -> new Ending(call, Outcome.UNREACHABLE)).toList());
+            } else {
+                connection.send(calls);
+            }
+        });
+    }
+
+    /** Tells the call's node that nobody waits for it any more; may be called on any thread. */
+    public void giveUp(Call call) {
+        io.execute(() -> {
+            for (List<NodeConnection> peer : peers.values()) {
+                for (NodeConnection connection : List.copyOf(peer)) {
+                    connection.giveUp(call);
+                }
+            }
+        });
+    }
+
+    /** Asks the node at the address how it is; may be called on any thread. */
+    public void probe(String node, String address) {
+        io.execute(() -> {
+            NodeConnection connection = connection(address, 0);
+            if (connection == null) {
+                decisions.probed(node, false);
+            } else {
+                connection.probe(node, probeLetter);
+            }
+        });
+    }
+
+    /** An open connection with room for so many parts more, else a new one; null where there may be no more. */
+    private NodeConnection connection(String address, int parts) {
+        List<NodeConnection> peer = peers.computeIfAbsent(address, key -> new ArrayList<>());
+        for (NodeConnection connection : peer) {
+            if (connection.takes(parts, partsAConnection)) {
+                return connection;
+            }
+        }
+        if (connections >= connectionsMost) {
+            LOG.log(System.Logger.Level.WARNING, "no connection to {0}: the limit of {1} is reached", address,
+                    connectionsMost);
+            return null;
+        }
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress to = new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)));
+        NodeConnection connection = new NodeConnection(this, decisions, address, connectWithin, idleMost);
+        peer.add(connection);
+        connections++;
+        connection.open(io, to);
+        return connection;
+    }
+
+    /** A connection has been closed. */
+    void closed(NodeConnection connection) {
+        List<NodeConnection> peer = peers.get(connection.address);
+        if (peer != null && peer.remove(connection)) {
+            connections--;
+            if (peer.isEmpty()) {
+                peers.remove(connection.address);
+            }
+        }
+    }
+
+    private long sweepEvery() {
+        return Math.max(100, idleMost.toMillis() / 10);
+    }
+
+    /** Closes what has stood idle. */
+    private void sweep() {
+        for (List<NodeConnection> peer : List.copyOf(peers.values())) {
+            for (NodeConnection connection : List.copyOf(peer)) {
+                connection.closeIfIdle();
+            }
+        }
+        io.executeAfter(this::sweep, sweepEvery(), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -0,0 +1,320 @@
+package postbeam.datanodes;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import postbeam.router.Call;
+import postbeam.router.Decisions;
+import postbeam.router.Ending;
+import postbeam.state.Outcome;
+
+/** One connection to a data node, on the I/O thread alone. It is given back in {@link #close}, and only there. */
+final class NodeConnection {
+    private static final System.Logger LOG = System.getLogger(NodeConnection.class.getName());
+    /** Bytes read at once, and kept while nothing larger comes. */
+    private static final int READ = 4096;
+
+    /** A frame that waits for its turn: leaf calls, encoded when they go, or bytes. */
+    private record Waiting(List<Call> calls, ByteBuffer bytes) { }
+
+    private static final class Out {
+        final Call call;
+        boolean written;
+        long writtenAt;
+
+        Out(Call call) {
+            this.call = call;
+        }
+    }
+
+    final String address;
+    private final DataNodes owner;
+    private final Decisions decisions;
+    private final Duration connectWithin;
+    private final Duration idleMost;
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private final Map<String, Out> out = new LinkedHashMap<>();
+    private final Deque<String> probes = new ArrayDeque<>();
+    private StreamConnection channel;
+    private XnioExecutor.Key connectTimer;
+    private ByteBuffer in = ByteBuffer.allocate(READ).order(ByteOrder.LITTLE_ENDIAN);
+    private Waiting writing;
+    private List<Out> writingCalls = List.of();
+    private int callsWaiting;
+    private long usedAt = System.nanoTime();
+    private long heardAt = usedAt;
+    private boolean doubtful;
+    private boolean closed;
+
+    NodeConnection(DataNodes owner, Decisions decisions, String address, Duration connectWithin, Duration idleMost) {
+        this.owner = owner;
+        this.decisions = decisions;
+        this.address = address;
+        this.connectWithin = connectWithin;
+        this.idleMost = idleMost;
+    }
+
+    void open(XnioIoThread io, InetSocketAddress to) {
+        IoFuture<StreamConnection> opening = io.openStreamConnection(to, opened -> { }, null,
+                OptionMap.create(Options.TCP_NODELAY, true));
+        connectTimer = io.executeAfter(() -> {
+            opening.cancel();
+            close("no connection in time");
+        }, connectWithin.toMillis(), TimeUnit.MILLISECONDS);
+        opening.addNotifier((future, none) -> io.execute(() -> opened(future)), null);
+    }
+
+    private void opened(IoFuture<? extends StreamConnection> future) {
+        try {
+            if (future.getStatus() != IoFuture.Status.DONE) {
+                close("no connection: " + (future.getStatus() == IoFuture.Status.FAILED
+                        ? future.getException().getMessage() : "cancelled"));
+                return;
+            }
+            StreamConnection made = future.get();
+            if (closed) {
+                IoUtils.safeClose(made);
+                return;
+            }
+            connectTimer.remove();
+            channel = made;
+            ConduitStreamSourceChannel source = channel.getSourceChannel();
+            source.setReadListener(this::read);
+            source.resumeReads();
+            channel.getSinkChannel().setWriteListener(sink -> write());
+            write();
+        } catch (IOException e) {
+            close("no connection: " + e.getMessage());
+        }
+    }
+
+    /** Whether so many parts more may go on it; one that was silent where an answer was due takes no more. */
+    boolean takes(int parts, int most) {
+        int load = out.size() + callsWaiting;
+        return !closed && !doubtful && (load == 0 || load + parts <= most)
+                && (load > 0 || channel == null || System.nanoTime() - usedAt < idleMost.toNanos());
+    }
+
+    void send(List<Call> calls) {
+        callsWaiting += calls.size();
+        enqueue(new Waiting(calls, null));
+    }
+
+    void probe(String node, char letter) {
+        probes.add(node);
+        enqueue(new Waiting(null, Frames.of(letter, "")));
+    }
+
+    void giveUp(Call call) {
+        Out given = out.get(call.id);
+        if (given == null || given.call != call) {
+            return;
+        }
+        out.remove(call.id);
+        long now = System.nanoTime();
+        // Guards against a connection that leads nowhere any more, which nothing tells: the machine vanished
+        // or was cut off. Further calls go on a new one, which comes up or fails in time.
+        doubtful |= given.written && heardAt < given.writtenAt
+                && now - given.writtenAt > connectWithin.toNanos();
+        enqueue(new Waiting(null, Frames.of(Frames.GIVE_UP, call.id)));
+        closeIfDone();
+    }
+
+    void closeIfIdle() {
+        if (channel != null && out.isEmpty() && callsWaiting == 0 && probes.isEmpty()
+                && System.nanoTime() - usedAt >= idleMost.toNanos()) {
+            close(null);
+        }
+    }
+
+    private void closeIfDone() {
+        if (doubtful && out.isEmpty() && callsWaiting == 0 && probes.isEmpty()) {
+            close(null);
+        }
+    }
+
+    private void enqueue(Waiting frame) {
+        if (closed) {
+            return;
+        }
+        waiting.add(frame);
+        usedAt = System.nanoTime();
+        if (channel != null && writing == null) {
+            write();
+        }
+    }
+
+    // ---- writing
+
+    private void write() {
+        ConduitStreamSinkChannel sink = channel.getSinkChannel();
+        try {
+            while (writing != null || next()) {
+                sink.write(writing.bytes());
+                if (writing.bytes().hasRemaining()) {
+                    sink.resumeWrites();
+                    return;
+                }
+                long now = System.nanoTime();
+                for (Out call : writingCalls) {
+                    call.written = true;
+                    call.writtenAt = now;
+                }
+                writing = null;
+                writingCalls = List.of();
+            }
+            sink.suspendWrites();
+        } catch (IOException e) {
+            close("write failed: " + e.getMessage());
+        }
+    }
+
+    /** Takes up the next frame; leaf calls that are over meanwhile are left out. */
+    private boolean next() {
+        while (!waiting.isEmpty()) {
+            Waiting first = waiting.poll();
+            if (first.calls() == null) {
+                writing = first;
+                return true;
+            }
+            callsWaiting -= first.calls().size();
+            List<Call> live = first.calls().stream().filter(call -> !call.over()).toList();
+            if (live.size() < first.calls().size()) {
+                decisions.report(first.calls().stream().filter(call -> !live.contains(call))
+                        .map(call -> new Ending(call, Outcome.NEVER_SENT)).toList());
+            }
+            if (!live.isEmpty()) {
+                writing = new Waiting(null, Frames.call(live));
+                writingCalls = live.stream().map(Out::new).toList();
+                writingCalls.forEach(call -> out.put(call.call.id, call));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- reading
+
+    private void read(ConduitStreamSourceChannel source) {
+        List<Ending> endings = new ArrayList<>();
+        String broken = null;
+        try {
+            int got;
+            while ((got = source.read(in)) > 0) {
+                heardAt = System.nanoTime();
+                usedAt = heardAt;
+                frames(endings);
+            }
+            broken = got < 0 ? "closed by the node" : null;
+        } catch (IOException e) {
+            broken = "read failed: " + e.getMessage();
+        } catch (Frames.BadFrame e) {
+            broken = e.getMessage();
+        }
+        if (!endings.isEmpty()) {
+            decisions.report(endings);
+        }
+        if (broken != null) {
+            close(broken);
+        } else {
+            closeIfDone();
+        }
+    }
+
+    /** Takes the whole frames out of what was read, and makes room for the rest. */
+    private void frames(List<Ending> endings) throws Frames.BadFrame {
+        in.flip();
+        int needs = READ;
+        while (in.remaining() >= Frames.HEAD) {
+            int length = in.getInt(in.position());
+            if (length < 1 || length > Frames.LONGEST) {
+                throw new Frames.BadFrame("a frame of " + length + " bytes");
+            }
+            if (in.remaining() < Frames.HEAD + length) {
+                needs = Frames.HEAD + length;
+                break;
+            }
+            in.getInt();
+            char letter = (char) in.get();
+            byte[] rest = new byte[length - 1];
+            in.get(rest);
+            frame(letter, rest, endings);
+        }
+        if (needs > in.capacity()) {
+            in = ByteBuffer.allocate(needs).order(ByteOrder.LITTLE_ENDIAN).put(in);
+        } else {
+            in.compact();
+        }
+    }
+
+    private void frame(char letter, byte[] rest, List<Ending> endings) throws Frames.BadFrame {
+        switch (letter) {
+            case Frames.ANSWER -> {
+                Frames.Answer answer = Frames.answer(rest);
+                Out ended = out.remove(answer.id());
+                if (ended != null) {
+                    endings.add(new Ending(ended.call, answer.outcome(), answer.value()));
+                }
+            }
+            case Frames.PROBE, Frames.LOAD_PROBE -> {
+                String node = probes.poll();
+                if (node != null) {
+                    decisions.probed(node, !"bad".equals(new String(rest, StandardCharsets.UTF_8)));
+                }
+            }
+            case Frames.UNUSABLE -> throw new Frames.BadFrame("the node could not use a frame: "
+                    + new String(rest, StandardCharsets.UTF_8));
+            default -> throw new Frames.BadFrame("a frame of an unknown letter");
+        }
+    }
+
+    // ---- the end
+
+    /** Gives everything back: the socket, the timer, and each call that is out or waits, once. */
+    private void close(String why) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        connectTimer.remove();
+        if (channel != null) {
+            IoUtils.safeClose(channel);
+        }
+        owner.closed(this);
+        List<Ending> endings = new ArrayList<>();
+        out.values().forEach(call -> endings.add(
+                new Ending(call.call, call.written ? Outcome.RESET : Outcome.UNREACHABLE)));
+        for (Waiting frame : waiting) {
+            if (frame.calls() != null) {
+                frame.calls().forEach(call -> endings.add(new Ending(call, Outcome.UNREACHABLE)));
+            }
+        }
+        if (why != null && (!endings.isEmpty() || !probes.isEmpty())) {
+            LOG.log(System.Logger.Level.DEBUG, "connection to {0}: {1}; {2} calls end", address, why,
+                    endings.size());
+        }
+        if (!endings.isEmpty()) {
+            decisions.report(endings);
+        }
+        probes.forEach(node -> decisions.probed(node, false));
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/discovery/ListForm.java
@@ -0,0 +1,54 @@
+package postbeam.discovery;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import postbeam.roster.Entry;
+import postbeam.roster.Told;
+import postbeam.setup.Json;
+import postbeam.state.Readiness;
+
+/** The data-node list in discovery's form. */
+public final class ListForm {
+    private ListForm() {}
+
+    static Told read(byte[] body) throws IOException {
+        return read(Json.object(body));
+    }
+
+    public static Told read(Map<String, Object> list) throws IOException {
+        List<Entry> entries = new ArrayList<>();
+        Map<String, String> addresses = new LinkedHashMap<>();
+        for (Object line : Json.member(list, "hosts", List.class)) {
+            if (!(line instanceof Map<?, ?> host)) {
+                throw new IOException("hosts holds something else than objects");
+            }
+            String name = Json.member(host, "host", String.class);
+            Readiness readiness = switch (Json.member(host, "health", String.class)) {
+                case "up" -> Readiness.READY;
+                case "draining" -> Readiness.DRAINING;
+                case "removed" -> Readiness.GONE;
+                default -> throw new IOException("health is unknown: " + host.get("health"));
+            };
+            boolean gone = readiness == Readiness.GONE;
+            if (!gone || host.get("dial") instanceof String) {
+                addresses.put(name, address(Json.member(host, "dial", String.class)));
+            }
+            Object born = host.get("born_ms");
+            entries.add(new Entry(name, String.valueOf(host.get("site")),
+                    gone ? 0 : Json.member(host, "block", Number.class).intValue(),
+                    born instanceof Number millis ? millis.longValue() * 1000 : 0, readiness));
+        }
+        return new Told(Json.member(list, "seq", Number.class).longValue(),
+                Json.member(list, "whole", Boolean.class), entries, addresses);
+    }
+
+    private static String address(String dial) throws IOException {
+        if (!dial.matches("[^:]+:[0-9]{1,5}")) {
+            throw new IOException("dial is not an address: " + dial);
+        }
+        return dial;
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -0,0 +1,80 @@
+package postbeam.discovery;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.Proxy;
+import java.net.URI;
+import java.time.Duration;
+import java.util.function.Consumer;
+import postbeam.roster.Told;
+
+/** Follows the data-node list on a thread of its own, so that nothing stands before what is told. */
+public final class Watch implements Runnable {
+    private static final System.Logger LOG = System.getLogger(Watch.class.getName());
+    /** How long a watch may wait: as in the protocol's example; what comes is told at once all the same. */
+    private static final Duration WAIT = Duration.ofSeconds(20);
+    /** How much longer than it may take an answer is waited for: by then it counts as told. */
+    private static final Duration SLACK = Duration.ofSeconds(2);
+    /** Between a failed call and the next: soon enough for a watch to go on. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
+
+    private final String address;
+    private final Consumer<Told> told;
+    private volatile boolean stopped;
+    private boolean failing;
+
+    public Watch(String address, Consumer<Told> told) {
+        this.address = address;
+        this.told = told;
+    }
+
+    @Override
+    public void run() {
+        long version = -1;
+        while (!stopped) {
+            try {
+                Told next = version < 0 ? ask("", SLACK)
+                        : ask("?index=" + version + "&wait=" + WAIT.toMillis(), WAIT.plus(SLACK));
+                told.accept(next);
+                version = next.version();
+                if (failing) {
+                    LOG.log(System.Logger.Level.INFO, "discovery answers again, list version {0}", version);
+                }
+                failing = false;
+            } catch (IOException | RuntimeException e) {
+                if (!failing) {
+                    LOG.log(System.Logger.Level.WARNING, "discovery: {0}; the held list stays", e.toString());
+                }
+                failing = true;
+                pause();
+            }
+        }
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(PAUSE.toMillis());
+        } catch (InterruptedException e) {
+            stopped = true;
+        }
+    }
+
+    private Told ask(String query, Duration within) throws IOException {
+        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + address + "/v1/servers" + query).toURL()
+                .openConnection(Proxy.NO_PROXY);
+        call.setConnectTimeout((int) SLACK.toMillis());
+        call.setReadTimeout((int) within.toMillis());
+        if (call.getResponseCode() != HttpURLConnection.HTTP_OK) {
+            call.disconnect();
+            throw new IOException("status " + call.getResponseCode());
+        }
+        try (InputStream body = call.getInputStream()) {
+            return ListForm.read(body.readAllBytes());
+        }
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/router/Asked.java
@@ -0,0 +1,10 @@
+package postbeam.router;
+
+import java.time.Duration;
+import java.util.List;
+
+/** A query as its client asked it; the patience counts from when its first byte was seen. */
+public record Asked(String id, String vertical, String owner, Duration patience, List<AskedPart> parts, byte[] text) {
+    /** One shard's part: its share of the answer and, where a guess came, its work. */
+    public record AskedPart(int shard, double weight, Duration work) { }
+}
--- /dev/null
+++ b/src/main/java/postbeam/router/Call.java
@@ -0,0 +1,42 @@
+package postbeam.router;
+
+import java.nio.charset.StandardCharsets;
+import postbeam.state.LeafCall;
+
+/** A leaf call as the network sees it. */
+public final class Call {
+    final LeafCall leaf;
+    /** Its part's id, the shard and the text to carry. */
+    public final String id;
+    public final int shard;
+    public final byte[] text;
+    private final long untilNanos;
+    private volatile boolean over;
+
+    Call(LeafCall leaf, String queryId, byte[] text, long untilNanos) {
+        this.leaf = leaf;
+        this.shard = leaf.part.shard;
+        this.id = queryId + "." + shard;
+        this.text = text;
+        this.untilNanos = untilNanos;
+    }
+
+    void end() {
+        over = true;
+    }
+
+    /** Nobody waits for it any more: what is not written yet is not to be written. */
+    public boolean over() {
+        return over;
+    }
+
+    /** How long its answer will be waited for; at least 1. */
+    public long millisLeft() {
+        return Math.max(1, (untilNanos - System.nanoTime()) / 1_000_000);
+    }
+
+    /** The first bytes that stand for it in a frame, up to its text. */
+    public byte[] head() {
+        return (id + " " + shard + " d=" + millisLeft() + " " + text.length + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -0,0 +1,375 @@
+package postbeam.router;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import postbeam.Decide;
+import postbeam.Host;
+import postbeam.roster.Roster;
+import postbeam.roster.Told;
+import postbeam.setup.Assembly;
+import postbeam.setup.Info;
+import postbeam.state.Customer;
+import postbeam.state.DataNode;
+import postbeam.state.LeafCall;
+import postbeam.state.Outcome;
+import postbeam.state.Part;
+import postbeam.state.Query;
+import postbeam.state.Vertical;
+
+/**
+ * The decisions in blocking style, for threads that speak to peers: {@link #pick} gives a query's thread the
+ * next thing to do, {@link #report} tells how leaf calls ended, {@link #tick} does what time brings. Sole
+ * owner of Decide and of its lock, under which nothing waits for a peer.
+ */
+public final class Decisions implements Host {
+    private static final System.Logger LOG = System.getLogger(Decisions.class.getName());
+
+    private record Timer(Duration at, long number, Runnable event) { }
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition due = lock.newCondition();
+    private final long startNanos = System.nanoTime();
+    private final long startUnixMicros = System.currentTimeMillis() * 1000;
+    private final Map<String, Vertical> verticals;
+    private final Map<String, Customer> customers;
+    private final Roster roster;
+    private final Decide decide;
+    private final int partsACall;
+    private final Duration probeWithin;
+    private final Map<DataNode, String> addresses = new IdentityHashMap<>();
+    private final Map<DataNode, Object> probes = new IdentityHashMap<>();
+    private final Map<String, OpenQuery> open = new LinkedHashMap<>();
+    private final Map<Query, OpenQuery> byQuery = new IdentityHashMap<>();
+    private final Map<LeafCall, Call> out = new IdentityHashMap<>();
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparing(Timer::at).thenComparingLong(Timer::number));
+    private long timerCount;
+    private final List<Step> errands = new ArrayList<>();
+    /** What the turn under way has sent, by node, and called off. */
+    private final Map<DataNode, List<Call>> sends = new LinkedHashMap<>();
+    private final List<LeafCall> calledOff = new ArrayList<>();
+
+    public Decisions(Info settings, long seed, int partsACall, Duration probeWithin) {
+        this.verticals = Assembly.verticals(settings);
+        this.customers = Assembly.customers(settings);
+        this.roster = new Roster(settings.text("zone"));
+        this.partsACall = partsACall;
+        this.probeWithin = probeWithin;
+        this.decide = Assembly.decide(this, new Random(seed), Assembly.fleet(settings), settings);
+    }
+
+    // ---- for the threads that serve queries
+
+    /** Takes a query so long after its first byte was seen; null where one of that id is still open. */
+    public OpenQuery take(Asked asked, Duration age) {
+        lock.lock();
+        try {
+            if (open.containsKey(asked.id())) {
+                return null;
+            }
+            Duration now = now();
+            Query query = new Query(verticals.get(asked.vertical()), customers.get(asked.owner()), now,
+                    now.plus(asked.patience()).minus(age));
+            OpenQuery q = new OpenQuery(asked, query, lock.newCondition());
+            open.put(asked.id(), q);
+            byQuery.put(query, q);
+            turn(q, now, () -> {
+                decide.queryArrived(now, query);
+                for (Asked.AskedPart part : asked.parts()) {
+                    decide.partArrived(now, new Part(query, part.shard(), part.weight(), part.work()));
+                }
+            });
+            return q;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The next thing to do for the query; waits until there is one. */
+    public Step pick(OpenQuery q) throws InterruptedException {
+        lock.lockInterruptibly();
+        try {
+            while (q.steps.isEmpty()) {
+                q.changed.await();
+            }
+            return q.steps.poll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Its client no longer waits. */
+    public void left(OpenQuery q) {
+        lock.lock();
+        try {
+            if (byQuery.containsKey(q.query)) {
+                Duration now = now();
+                turn(q, now, () -> decide.clientLeft(now, q.query));
+                finish(q, new Step.Over());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ---- for those that hear from data nodes and discovery
+
+    /** Tells how leaf calls ended, each once; one that has ended otherwise meanwhile is passed over. */
+    public void report(List<Ending> endings) {
+        lock.lock();
+        try {
+            Duration now = now();
+            turn(null, now, () -> endings.forEach(ending -> ended(now, ending)));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void probed(String node, boolean answered) {
+        lock.lock();
+        try {
+            DataNode probed = roster.node(node);
+            if (probed != null && probes.remove(probed) != null) {
+                Duration now = now();
+                turn(null, now, () -> decide.probed(now, probed, answered));
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void listed(Told told) {
+        lock.lock();
+        try {
+            turn(null, now(), () -> roster.listed(told.entries(), told.whole(),
+                    micros -> Duration.ofNanos((micros - startUnixMicros) * 1000), decide));
+            told.addresses().forEach((name, address) -> {
+                DataNode node = roster.node(name);
+                if (node != null) {
+                    addresses.put(node, address);
+                }
+            });
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Waits until time or a turn brings something to do that belongs to no query's thread. */
+    public List<Step> tick() throws InterruptedException {
+        lock.lockInterruptibly();
+        try {
+            while (true) {
+                Duration now = now();
+                List<Runnable> events = new ArrayList<>();
+                while (!timers.isEmpty() && timers.peek().at().compareTo(now) <= 0) {
+                    events.add(timers.poll().event());
+                }
+                if (!events.isEmpty()) {
+                    turn(null, now, () -> events.forEach(event -> tried(null, event)));
+                }
+                if (!errands.isEmpty()) {
+                    List<Step> todo = List.copyOf(errands);
+                    errands.clear();
+                    return todo;
+                }
+                if (timers.isEmpty()) {
+                    due.await();
+                } else {
+                    due.awaitNanos(timers.peek().at().minus(now()).toNanos());
+                }
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ---- turns
+
+    private Duration now() {
+        return Duration.ofNanos(System.nanoTime() - startNanos);
+    }
+
+    private void after(Duration at, Runnable event) {
+        timers.add(new Timer(at, timerCount++, event));
+        due.signal();
+    }
+
+    /** One turn: what happened, and what is decided on it; then that the calls it called off have ended. */
+    private void turn(OpenQuery about, Duration now, Runnable event) {
+        tried(about, event);
+        while (true) {
+            while (!tried(about, () -> decide.turnEnded(now))) {
+                about = null;
+            }
+            handOutSends();
+            if (calledOff.isEmpty()) {
+                return;
+            }
+            List<LeafCall> over = List.copyOf(calledOff);
+            calledOff.clear();
+            over.forEach(leaf -> tried(byQuery.get(leaf.part.query), () -> ended(now, leaf, Outcome.CANCELLED)));
+        }
+    }
+
+    /**
+     * Guards against a failure of the decisions, whatever it is: the query that it came with is aborted, else
+     * the oldest. A failure that comes back each time costs all that are open, one after the other. True once
+     * there is nothing to do again.
+     */
+    private boolean tried(OpenQuery about, Runnable step) {
+        try {
+            step.run();
+            return true;
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "deciding failed; a query is aborted for it", e);
+        }
+        OpenQuery victim = about != null && byQuery.containsKey(about.query) ? about
+                : open.isEmpty() ? null : open.values().iterator().next();
+        if (victim == null) {
+            return true;
+        }
+        try {
+            decide.clientLeft(now(), victim.query);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "a query could not be ended", e);
+        }
+        finish(victim, new Step.Abort());
+        return false;
+    }
+
+    private void handOutSends() {
+        sends.forEach((node, calls) -> {
+            for (int i = 0; i < calls.size(); i += partsACall) {
+                List<Call> together = List.copyOf(calls.subList(i, Math.min(calls.size(), i + partsACall)));
+                Step send = new Step.Send(addresses.get(node), together);
+                OpenQuery first = byQuery.get(together.get(0).leaf.part.query);
+                if (first == null) {
+                    errands.add(send);
+                    due.signal();
+                } else {
+                    first.add(send);
+                }
+            }
+        });
+        sends.clear();
+    }
+
+    private void ended(Duration now, Ending ending) {
+        LeafCall leaf = ending.call().leaf;
+        OpenQuery q = byQuery.get(leaf.part.query);
+        if (q != null && !leaf.ended && ending.outcome() == Outcome.MERGED) {
+            q.values.putIfAbsent(leaf.part, ending.value());
+        }
+        tried(q, () -> ended(now, leaf, ending.outcome()));
+    }
+
+    private void ended(Duration now, LeafCall leaf, Outcome outcome) {
+        Call call = out.remove(leaf);
+        if (call != null) {
+            call.end();
+            decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended);
+        }
+    }
+
+    private void timedOut(LeafCall leaf) {
+        Call call = out.get(leaf);
+        if (call != null) {
+            errands.add(new Step.GiveUp(call));
+            ended(now(), leaf, Outcome.TIMEOUT);
+        }
+    }
+
+    /** The last step of a query; what is not written of it yet will not be. */
+    private void finish(OpenQuery q, Step last) {
+        if (byQuery.remove(q.query) != null) {
+            open.remove(q.asked.id());
+            q.calls.forEach(Call::end);
+            q.add(last);
+        }
+    }
+
+    // ---- what the decisions have done
+
+    @Override
+    public void send(LeafCall leaf) {
+        OpenQuery q = byQuery.get(leaf.part.query);
+        Duration until = leaf.part.query.deadline;
+        if (leaf.timeout != null && leaf.sentAt.plus(leaf.timeout).compareTo(until) < 0) {
+            until = leaf.sentAt.plus(leaf.timeout);
+        }
+        Call call = new Call(leaf, q.asked.id(), q.asked.text(), startNanos + until.toNanos());
+        q.calls.add(call);
+        out.put(leaf, call);
+        sends.computeIfAbsent(leaf.node, node -> new ArrayList<>()).add(call);
+        after(until, () -> timedOut(leaf));
+    }
+
+    @Override
+    public void cancel(LeafCall leaf) {
+        Call call = out.get(leaf);
+        if (call != null) {
+            call.end();
+            calledOff.add(leaf);
+            OpenQuery q = byQuery.get(leaf.part.query);
+            if (q == null) {
+                errands.add(new Step.GiveUp(call));
+                due.signal();
+            } else {
+                q.add(new Step.GiveUp(call));
+            }
+        }
+    }
+
+    @Override
+    public void answer(Query query, boolean whole) {
+        OpenQuery q = byQuery.get(query);
+        List<Step.Value> values = new ArrayList<>();
+        for (Part part : query.parts) {
+            if (part.merged) {
+                values.add(new Step.Value(part.shard, q.values.get(part)));
+            }
+        }
+        finish(q, new Step.Answer(whole, values));
+    }
+
+    @Override
+    public void reject(Query query, Duration comeBack) {
+        finish(byQuery.get(query), new Step.Reject(comeBack));
+    }
+
+    @Override
+    public void abort(Query query) {
+        finish(byQuery.get(query), new Step.Abort());
+    }
+
+    @Override
+    public void wakeAfter(Duration wait) {
+        after(now().plus(wait), () -> decide.woken(now()));
+    }
+
+    @Override
+    public void probe(DataNode node) {
+        Object mark = new Object();
+        probes.put(node, mark);
+        errands.add(new Step.Probe(roster.name(node), addresses.get(node)));
+        after(now().plus(probeWithin), () -> {
+            if (probes.remove(node, mark)) {
+                decide.probed(now(), node, false);
+            }
+        });
+    }
+
+    @Override
+    public void log(String text) {
+        LOG.log(System.Logger.Level.INFO, text);
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/router/Router.java
@@ -0,0 +1,156 @@
+package postbeam.router;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import postbeam.clients.ClientDoor;
+import postbeam.datanodes.DataNodes;
+import postbeam.discovery.ListForm;
+import postbeam.discovery.Watch;
+import postbeam.setup.Assembly;
+import postbeam.setup.Info;
+import postbeam.setup.Startup;
+
+/** One query router: wires its parts, starts them and stops them. */
+public final class Router implements ClientDoor.Queries {
+    private static final System.Logger LOG = System.getLogger(Router.class.getName());
+    /** Descriptors for the program itself: jars, standard streams, selectors, discovery. */
+    private static final int OWN_DESCRIPTORS = 64;
+    /** Client connections for each MB of memory, of which each may have a thread. */
+    private static final int CLIENTS_A_MB = 2;
+    /** How long clients go on connecting after a stop was asked, at most 0.4 s as their page has it. */
+    private static final Duration STILL_COMING = Duration.ofMillis(600);
+
+    private final Decisions decisions;
+    private final DataNodes dataNodes;
+    private final ClientDoor clients;
+    private final Watch watch;
+    private final XnioWorker worker;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private volatile boolean ready;
+
+    public Router(Startup startup) throws IOException {
+        Info settings = startup.settings;
+        String listen = startup.address("listen");
+        String discovery = startup.address("discovery");
+        Duration connectWithin = settings.span("caps.connectTimeout");
+        Duration idleMost = settings.span("caps.keepalive");
+        settings.needed("caps.connectTimeout");
+        settings.needed("caps.keepalive");
+        int descriptors = startup.info.atLeast("limits.sockets", 2 * OWN_DESCRIPTORS) - OWN_DESCRIPTORS;
+        int clientsMost = Math.min(descriptors / 2,
+                CLIENTS_A_MB * startup.info.atLeast("limits.memory_mb", 64));
+        Map<String, Duration> usualWaits = new LinkedHashMap<>();
+        for (int i = 0; i < settings.count("classes"); i++) {
+            usualWaits.put(settings.needed("classes." + i + ".name"), settings.span("classes." + i + ".deadline"));
+            if (settings.listed("domain.followUp", i) != null && settings.listed("domain.followUp", i) > 0) {
+                throw settings.bad("domain.followUp", "asks for a second step, which has no form on sockets");
+            }
+        }
+        decisions = new Decisions(settings, startup.seed(), settings.atLeast("domain.partsACall", 1), connectWithin);
+        if (startup.known() != null) {
+            decisions.listed(ListForm.read(startup.known()));
+        }
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        dataNodes = new DataNodes(worker.getIoThread(), decisions, settings.atLeast("caps.maxStreams", 1),
+                connectWithin, idleMost.minus(connectWithin.multipliedBy(2)), descriptors - clientsMost,
+                !"none".equals(String.valueOf(settings.text("report.how"))));
+        int colon = listen.lastIndexOf(':');
+        clients = new ClientDoor(worker, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)),
+                this, usualWaits, Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1),
+                clientsMost);
+        watch = new Watch(discovery, told -> {
+            decisions.listed(told);
+            ready |= told.whole();
+        });
+        ready = startup.known() != null;
+    }
+
+    /** Starts to serve; a RuntimeException says why it can't listen. */
+    public void start() {
+        thread("ticks", this::ticks);
+        thread("discovery", watch);
+        clients.start();
+    }
+
+    /** Waits until it is stopped. */
+    public void await() throws InterruptedException {
+        stopped.await();
+    }
+
+    private static void thread(String name, Runnable work) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void ticks() {
+        while (true) {
+            try {
+                decisions.tick().forEach(this::carryOut);
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "a tick failed", e);
+            }
+        }
+    }
+
+    private void carryOut(Step step) {
+        if (step instanceof Step.Send send) {
+            dataNodes.send(send.address(), send.calls());
+        } else if (step instanceof Step.GiveUp up) {
+            dataNodes.giveUp(up.call());
+        } else if (step instanceof Step.Probe probe) {
+            dataNodes.probe(probe.node(), probe.address());
+        }
+    }
+
+    @Override
+    public OpenQuery take(Asked asked, Duration age) {
+        return decisions.take(asked, age);
+    }
+
+    @Override
+    public Step serve(OpenQuery q) throws InterruptedException {
+        while (true) {
+            Step step = decisions.pick(q);
+            if (step instanceof Step.Send || step instanceof Step.GiveUp) {
+                carryOut(step);
+            } else {
+                return step;
+            }
+        }
+    }
+
+    @Override
+    public void left(OpenQuery q) {
+        decisions.left(q);
+    }
+
+    @Override
+    public boolean ready() {
+        return ready;
+    }
+
+    /** Stops taking clients, answers all that was taken, and lets {@link #await} return. */
+    public void stop() throws InterruptedException {
+        LOG.log(System.Logger.Level.INFO, "stopping: {0} queries open", clients.beingServed());
+        clients.leave();
+        Thread.sleep(STILL_COMING.toMillis());
+        while (clients.beingServed() > 0) {
+            Thread.sleep(10);
+        }
+        clients.stop();
+        watch.stop();
+        worker.shutdown();
+        stopped.countDown();
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/router/Step.java
@@ -0,0 +1,31 @@
+package postbeam.router;
+
+import java.time.Duration;
+import java.util.List;
+
+/** The next thing to do; the last four end a query. */
+public sealed interface Step {
+    /** Sends these leaf calls to the node at this address, together. */
+    record Send(String address, List<Call> calls) implements Step { }
+
+    /** Tells the node that nobody waits for this leaf call any more. */
+    record GiveUp(Call call) implements Step { }
+
+    /** Asks a node how it is. */
+    record Probe(String node, String address) implements Step { }
+
+    /** Answers from these parts. */
+    record Answer(boolean whole, List<Value> values) implements Step { }
+
+    /** Says that asking again is harmless, after a wait if it is above zero. */
+    record Reject(Duration comeBack) implements Step { }
+
+    /** Ends the query without a promise about its effect. */
+    record Abort() implements Step { }
+
+    /** The client has left: nothing is to be said. */
+    record Over() implements Step { }
+
+    /** What a data node gave for a shard. */
+    record Value(int shard, byte[] text) { }
+}
--- /dev/null
+++ b/src/main/java/postbeam/setup/Startup.java
@@ -0,0 +1,57 @@
+package postbeam.setup;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Reads and checks what a router is told at its start, in a file of JSON; messages name the faulty key. */
+public final class Startup {
+    private final Map<String, Object> told;
+    /** All of it but the list, by path; and the settings, as the simulator's wire names them. */
+    public final Info info;
+    public final Info settings;
+
+    private Startup(Map<String, Object> told, Map<String, Object> settings) {
+        this.told = told;
+        this.info = new Info(told, "");
+        this.settings = new Info(settings, "settings.");
+    }
+
+    /** An IOException or IllegalArgumentException says what is wrong with it. */
+    public static Startup read(String file) throws IOException {
+        if (file == null || file.isEmpty()) {
+            throw new IllegalArgumentException("BALANCER_CONFIG is not set and no --config is given");
+        }
+        Map<String, Object> told = Json.object(Files.readAllBytes(Path.of(file)));
+        return new Startup(told, map(Json.member(told, "settings", Map.class)));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> map(Map<?, ?> object) {
+        return (Map<String, Object>) object;
+    }
+
+    /** The list as this router last held it, in discovery's form; null where none is given. */
+    public Map<String, Object> known() {
+        return told.get("known") instanceof Map<?, ?> list ? map(list) : null;
+    }
+
+    /** An address with its port. */
+    public String address(String path) {
+        String value = info.needed(path);
+        if (!value.matches("[^:]+:[0-9]{1,5}")) {
+            throw info.bad(path, "must be HOST:PORT, not " + value);
+        }
+        return value;
+    }
+
+    /** The seed: 16 hex digits. */
+    public long seed() {
+        try {
+            return Long.parseUnsignedLong(info.needed("seed"), 16);
+        } catch (NumberFormatException e) {
+            throw info.bad("seed", "must be up to 16 hex digits");
+        }
+    }
+}
