Calls are given up by an index of their connections, not by a walk over them

Observed: ConcurrentModificationException on the I/O thread in DataNodes.giveUp (n0 and n2 of fleet): giving up the last call of a doubtful connection closes it and takes it out of the map walked over. The task died, the calls after it were not given up. Now one identity map call -> connection, kept from writing to end.

--- a/src/main/java/postbeam/datanodes/DataNodes.java
+++ b/src/main/java/postbeam/datanodes/DataNodes.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,8 @@
     private final int connectionsMost;
     private final char probeLetter;
     private final Map<String, List<NodeConnection>> peers = new LinkedHashMap<>();
+    /** Which connection each call is out on, from its writing to its end. */
+    private final Map<Call, NodeConnection> carriers = new IdentityHashMap<>();
     private int connections;
 
     public DataNodes(XnioIoThread io, Decisions decisions, int partsAConnection, Duration connectWithin,
@@ -57,10 +60,9 @@
     /** Tells the call's node that nobody waits for it any more; may be called on any thread. */
     public void giveUp(Call call) {
         io.execute(() -> {
-            for (List<NodeConnection> peer : peers.values()) {
-                for (NodeConnection connection : List.copyOf(peer)) {
-                    connection.giveUp(call);
-                }
+            NodeConnection carrier = carriers.get(call);
+            if (carrier != null) {
+                carrier.giveUp(call);
             }
         });
     }
@@ -100,6 +102,14 @@
         return connection;
     }
 
+    void carried(Call call, NodeConnection connection) {
+        carriers.put(call, connection);
+    }
+
+    void over(Call call) {
+        carriers.remove(call);
+    }
+
     /** A connection has been closed. */
     void closed(NodeConnection connection) {
         List<NodeConnection> peer = peers.get(connection.address);
--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -130,6 +130,7 @@
             return;
         }
         out.remove(call.id);
+        owner.over(call);
         long now = System.nanoTime();
         // Guards against a connection that leads nowhere any more, which nothing tells: the machine vanished
         // or was cut off. Further calls go on a new one, which comes up or fails in time.
@@ -205,7 +206,10 @@
             if (!live.isEmpty()) {
                 writing = new Waiting(null, Frames.call(live));
                 writingCalls = live.stream().map(Out::new).toList();
-                writingCalls.forEach(call -> out.put(call.call.id, call));
+                for (Out call : writingCalls) {
+                    out.put(call.call.id, call);
+                    owner.carried(call.call, this);
+                }
                 return true;
             }
         }
@@ -272,6 +276,7 @@
                 Frames.Answer answer = Frames.answer(rest);
                 Out ended = out.remove(answer.id());
                 if (ended != null) {
+                    owner.over(ended.call);
                     endings.add(new Ending(ended.call, answer.outcome(), answer.value()));
                 }
             }
@@ -301,8 +306,10 @@
         }
         owner.closed(this);
         List<Ending> endings = new ArrayList<>();
-        out.values().forEach(call -> endings.add(
-                new Ending(call.call, call.written ? Outcome.RESET : Outcome.UNREACHABLE)));
+        for (Out call : out.values()) {
+            owner.over(call.call);
+            endings.add(new Ending(call.call, call.written ? Outcome.RESET : Outcome.UNREACHABLE));
+        }
         for (Waiting frame : waiting) {
             if (frame.calls() != null) {
                 frame.calls().forEach(call -> endings.add(new Ending(call, Outcome.UNREACHABLE)));
