A struck node ranks behind a sound replica for side-effecting parts

Guards: what can't be sent again is no trial of a node that failed lately; a node that hangs may answer probes.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -511,7 +511,9 @@
             if (node.readiness != Readiness.READY || !cold.allows(now, node, work, fleet)) {
                 continue;
             }
-            int rank = suspect(now, node, part.query.vertical) ? 2 : 0;
+            // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
+            int rank = suspect(now, node, part.query.vertical) ? 2
+                    : node.strikes > 0 && part.query.vertical.effect == Effect.SIDE_EFFECTING ? 1 : 0;
             boolean here = false;
             for (LeafCall call : part.calls) {
                 rank += call.node == node ? 1 : 0;
