Socket tests; a client that leaves is noticed, and a stop ends with status 0

Observed by the new tests, which start the built program: (1) closing a connection with a query open was never seen. The read listener sat on ClientDoor's source channel, whose conduit is the request's body and tells nothing once that is read; and it was set within the event, after which Undertow stops reading. Now the socket's own conduit is watched, set up after the event. (2) SIGTERM ended with 1: Router.stop gave the I/O thread one more look after it had shut the worker down. Ruled out for (1): the facade (left gives GiveUp, unit test) and the give-up frame (sent for spares).

--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -26,7 +26,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 import postbeam.router.Asked;
 import postbeam.router.OpenQuery;
 import postbeam.router.Step;
@@ -164,33 +164,42 @@
             say(exchange, 400, "a query of this Req-Id is open\n");
             return;
         }
-        watch(exchange, q);
         exchange.dispatch(threads, () -> serve(exchange, q));
+        // Once this event is over: until then Undertow sets up and stops reading by itself.
+        io.execute(() -> watch(exchange, q));
     }
 
     /** Notices that the client closes its connection while its query is served. */
     private void watch(HttpServerExchange exchange, OpenQuery q) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        if (exchange.isComplete()) {
+            return;
+        }
+        if (!connection.isOpen()) {
+            queries.left(q);
+            return;
+        }
         ByteBuffer one = ByteBuffer.allocate(1);
-        ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-        source.setReadListener(channel -> {
+        // The socket itself: the channel over it ends with the request's body, and then tells no more.
+        StreamSourceConduit socket = connection.getOriginalSourceConduit();
+        connection.getChannel().getSourceChannel().setReadListener(channel -> {
             try {
-                int got = connection.getExtraBytes() != null ? 1 : connection.getOriginalSourceConduit().read(one);
+                int got = socket.read(one);
                 if (got == 0) {
                     return;
                 }
-                channel.suspendReads();
                 if (got > 0) {
                     // A client that sends on before its answer is in: its bytes can't be kept in order.
-                    LOG.log(System.Logger.Level.DEBUG, "a client sent a second request before its answer");
+                    LOG.log(System.Logger.Level.WARNING, "a client sent on before its answer; it is cut off");
                 }
             } catch (IOException e) {
-                channel.suspendReads();
+                LOG.log(System.Logger.Level.DEBUG, "a client''s connection broke: {0}", e.getMessage());
             }
+            socket.suspendReads();
             IoUtils.safeClose(connection);
             queries.left(q);
         });
-        source.resumeReads();
+        socket.resumeReads();
     }
 
     private void serve(HttpServerExchange exchange, OpenQuery q) {
@@ -208,7 +217,7 @@
 
     private void end(HttpServerExchange exchange, Step last) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-        connection.getChannel().getSourceChannel().suspendReads();
+        connection.getOriginalSourceConduit().suspendReads();
         if (last instanceof Step.Over || !connection.isOpen()) {
             IoUtils.safeClose(connection);
             exchange.endExchange();
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -152,11 +152,11 @@
             Thread.sleep(10);
             worker.getIoThread().execute(() -> {
                 if (clients.idle()) {
-                    watch.stop();
-                    worker.shutdownNow();
                     stopped.countDown();
                 }
             });
         }
+        watch.stop();
+        worker.shutdownNow();
     }
 }
--- /dev/null
+++ b/src/test/java/postbeam/RouterIT.java
@@ -0,0 +1,586 @@
+package postbeam;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the built program on loopback, with stand-ins for data nodes and discovery, and speaks to it. */
+class RouterIT {
+    /** Seconds after which a condition that has not come will not come. */
+    private static final int LONG = 20;
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+
+    @TempDir
+    private Path dir;
+    private final List<AutoCloseable> toClose = new CopyOnWriteArrayList<>();
+    private Node node;
+    private Discovery discovery;
+    private String address;
+    private Process program;
+    private BlockingQueue<String> log;
+
+    // ---- stand-ins
+
+    private interface Connected {
+        void serve(Socket socket) throws IOException;
+    }
+
+    private ServerSocket listen(Connected each) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, HERE);
+        toClose.add(server);
+        daemon(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                toClose.add(socket);
+                daemon(() -> {
+                    try (socket) {
+                        each.serve(socket);
+                    }
+                    return null;
+                });
+            }
+        });
+        return server;
+    }
+
+    private static Thread daemon(Callable<Void> work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.call();
+            } catch (Exception e) {
+                // A closed socket ends the stand-in's thread.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    /** Does with each part what it was told, and remembers the frames. */
+    private final class Node {
+        final ServerSocket server;
+        final BlockingQueue<String> frames = new LinkedBlockingQueue<>();
+        final List<Socket> sockets = new CopyOnWriteArrayList<>();
+        /** good, bad, later, silent, twice, stray, reset, garbage, oversized. */
+        volatile String mode = "good";
+
+        Node() throws IOException {
+            server = listen(this::serve);
+        }
+
+        private void serve(Socket socket) throws IOException {
+            sockets.add(socket);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                byte[] frame = in.readNBytes(Integer.reverseBytes(in.readInt()));
+                String text = new String(frame, StandardCharsets.UTF_8);
+                if (text.charAt(0) == 'm') {
+                    if (mode.equals("reset")) {
+                        frames.add("reset " + text);
+                        socket.setSoLinger(true, 0);
+                        return;
+                    }
+                    parts(socket, text.substring(1));
+                } else if (text.charAt(0) == 'o' || text.charAt(0) == 'p') {
+                    send(socket, text.charAt(0) + (mode.equals("silent") ? "bad" : "good"));
+                } else {
+                    frames.add(text);
+                }
+            }
+        }
+
+        private void parts(Socket socket, String parts) throws IOException {
+            String rest = parts;
+            while (!rest.isEmpty()) {
+                int end = rest.indexOf('\n');
+                String[] words = rest.substring(0, end).split(" ");
+                int after = end + 1 + Integer.parseInt(words[3]);
+                frames.add("m " + words[0] + " " + words[1] + " " + rest.substring(end + 1, after));
+                answer(socket, words[0]);
+                rest = rest.substring(after);
+            }
+        }
+
+        private void answer(Socket socket, String id) throws IOException {
+            switch (mode) {
+                case "silent" -> { }
+                case "garbage" -> send(socket, "x?");
+                case "oversized" -> socket.getOutputStream().write(new byte[] {0, 0, 0, 127});
+                case "stray" -> {
+                    send(socket, "qnobody.1 good 0 -\nx");
+                    send(socket, "q" + id + " good 0 -\n\"v" + id + "\"");
+                }
+                case "twice" -> {
+                    send(socket, "q" + id + " good 0 -\nfirst");
+                    send(socket, "q" + id + " good 0 -\nsecond");
+                }
+                default -> send(socket, "q" + id + " " + mode + " 0 -\nv" + id);
+            }
+        }
+
+        private void send(Socket socket, String frame) throws IOException {
+            byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            for (int i = 0; i < 4; i++) {
+                out.write(bytes.length >> 8 * i);
+            }
+            out.write(bytes);
+            socket.getOutputStream().write(out.toByteArray());
+        }
+
+        String dial() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        String entry(String name, String health) {
+            return "{\"host\":\"" + name + "\",\"dial\":\"" + dial()
+                    + "\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"" + health + "\",\"born_ms\":0}";
+        }
+    }
+
+    /** Answers each call at once where there is news, else when some comes. */
+    private final class Discovery {
+        final ServerSocket server;
+        final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        private int version = 1;
+        private String hosts;
+        private boolean half;
+
+        Discovery(String hosts) throws IOException {
+            this.hosts = hosts;
+            server = listen(this::serve);
+        }
+
+        synchronized void tell(String hosts) {
+            this.hosts = hosts;
+            version++;
+            notifyAll();
+        }
+
+        /** The next answer breaks off in its middle. */
+        synchronized void tellHalf() {
+            half = true;
+            version++;
+            notifyAll();
+        }
+
+        private void serve(Socket socket) throws IOException {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+            String line;
+            while ((line = in.readLine()) != null) {
+                String path = line.split(" ")[1];
+                while (!in.readLine().isEmpty()) {
+                    // Headers say nothing here.
+                }
+                asked.add(path);
+                String body = body(path);
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                        + (half ? body.substring(0, 9) : body)).getBytes(StandardCharsets.UTF_8));
+                if (half) {
+                    half = false;
+                    return;
+                }
+            }
+        }
+
+        private synchronized String body(String path) throws IOException {
+            int at = path.indexOf("index=");
+            while (at >= 0 && Integer.parseInt(path.substring(at + 6, path.indexOf('&'))) >= version) {
+                try {
+                    wait();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+            return "{\"seq\":" + version + ",\"whole\":" + true + ",\"hosts\":[" + hosts + "]}";
+        }
+    }
+
+    // ---- the program
+
+    @BeforeEach
+    void standIns() throws IOException {
+        node = new Node();
+        discovery = new Discovery(node.entry("n1", "up"));
+    }
+
+    @AfterEach
+    void giveBack() throws Exception {
+        if (program != null) {
+            program.destroyForcibly().waitFor();
+        }
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private String config(String known) throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, HERE)) {
+            address = "127.0.0.1:" + free.getLocalPort();
+        }
+        return "{\"name\":\"n0\",\"listen\":\"" + address + "\",\"discovery\":\"127.0.0.1:"
+                + discovery.server.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\","
+                + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" + known + ",\"settings\":{"
+                + "\"zone\":\"a\",\"nInstances\":1,\"report\":{\"how\":\"none\"},\"domain\":{\"cells\":1,\"reach\":1,"
+                + "\"shards\":4,\"partsACall\":16,\"classNeed\":[1.0,1.0,0.5],\"leastShare\":[1.0,1.0,0.25],"
+                + "\"shortWorth\":[0,0,0.9]},\"caps\":{\"maxAttempts\":3,\"mayDuplicate\":true,\"cancelling\":true,"
+                + "\"probes\":true,\"maxStreams\":32,\"connectTimeout\":250000,\"keepalive\":15000000},"
+                + "\"obligations\":{\"stopSendingWithin\":2000000},\"classes\":["
+                + "{\"name\":\"lookup\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"retryable\"},"
+                + "{\"name\":\"hold\",\"promise\":1000000,\"effect\":\"fragile\",\"lateWorth\":0.1},"
+                + "{\"name\":\"search\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"retryable\"}],"
+                + "\"tenants\":[{\"name\":\"acme\",\"quotaPerS\":50}]}}";
+    }
+
+    private Process run(String config, String... more) throws IOException {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx48m", "-XX:TieredStopAtLevel=1", "-jar", "target/postbeam.jar"));
+        command.addAll(more.length > 0 ? List.of(more) : List.of("serve", "--config", file.toString()));
+        program = new ProcessBuilder(command).redirectErrorStream(true).start();
+        log = new LinkedBlockingQueue<>();
+        BufferedReader out = program.inputReader();
+        daemon(() -> {
+            String line;
+            while ((line = out.readLine()) != null) {
+                log.add(line);
+            }
+            return null;
+        });
+        return program;
+    }
+
+    private void serving() throws Exception {
+        run(config("null"));
+        until(() -> program.isAlive() && status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("200"));
+    }
+
+    private static void until(Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONG);
+        while (System.nanoTime() < end) {
+            try {
+                if (condition.call()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not yet.
+            }
+            Thread.sleep(10);
+        }
+        fail("the condition did not come");
+    }
+
+    private Socket connect() throws IOException {
+        int colon = address.indexOf(':');
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(HERE, Integer.parseInt(address.substring(colon + 1))));
+        socket.setSoTimeout(LONG * 1000);
+        toClose.add(socket);
+        return socket;
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Status, a space, the headers that matter, a space, the body. */
+    private static String answer(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return head.length() == 0 ? "closed" : "broken " + head;
+            }
+            head.append((char) c);
+        }
+        int length = 0;
+        String retry = "";
+        for (String line : head.toString().split("\r\n")) {
+            if (line.toLowerCase().startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(15).trim());
+            } else if (line.toLowerCase().startsWith("retry-after:")) {
+                retry = line.substring(12).trim() + " ";
+            }
+        }
+        return head.substring(9, 12) + " " + retry + new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    private String status(String request) throws IOException {
+        try (Socket socket = connect()) {
+            write(socket, request);
+            return answer(socket);
+        }
+    }
+
+    private static String query(String vertical, String id, int millis, int... shards) {
+        StringBuilder ranges = new StringBuilder();
+        for (int shard : shards) {
+            ranges.append(ranges.length() == 0 ? "" : ",").append("{\"range\":").append(shard).append(",\"portion\":")
+                    .append(1.0 / shards.length).append('}');
+        }
+        return post("/" + vertical + "?obj=7f", "Req-Id: " + id + "\r\nReq-Owner: acme\r\nReq-Deadline-Ms: " + millis
+                + "\r\n", "{\"ranges\":[" + ranges + "],\"predicate\":\"c41e77d0\"}");
+    }
+
+    private static String post(String path, String headers, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: backend.local\r\n" + headers + "Content-Length: " + body.length()
+                + "\r\n\r\n" + body;
+    }
+
+    private String frame(String start) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONG);
+        while (System.nanoTime() < end) {
+            String next = node.frames.poll(1, TimeUnit.SECONDS);
+            if (next != null && next.startsWith(start)) {
+                return next;
+            }
+        }
+        return fail("no frame " + start + "; the program said " + log);
+    }
+
+    // ---- queries
+
+    @Test
+    void aQueryIsAnsweredWithTheValuesAsTheNodesGaveThemAndTheConnectionIsKept() throws Exception {
+        serving();
+        try (Socket client = connect()) {
+            write(client, query("lookup", "q1", 3000, 0, 3));
+            assertEquals("200 {\"total\":true,\"answers\":[{\"range\":0,\"blob\":\"vq1.0\"},{\"range\":3,\"blob\":\"vq1.3\"}]}",
+                    answer(client));
+            assertEquals("m q1.0 0 c41e77d0", frame("m q1.0"));
+            node.mode = "stray";
+            write(client, "POST /lookup HTTP/1.1\r\nHost: backend.local\r\nReq-Id: q2\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 3000\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n10\r\n{\"ranges\":[{\"ran\r\n25\r\n"
+                    + "ge\":1,\"portion\":1}],\"predicate\":\"ab\"}\r\n0\r\n\r\n");
+            assertEquals("200 {\"total\":true,\"answers\":[{\"range\":1,\"blob\":\"\\\"vq2.1\\\"\"}]}", answer(client));
+            node.mode = "twice";
+            write(client, query("lookup", "q3", 3000, 2));
+            assertTrue(answer(client).contains("first"));
+        }
+        assertEquals(1, node.sockets.size());
+    }
+
+    @Test
+    void anyPartsThatAreEnoughMakeTheAnswerAndTheRestAreCalledOff() throws Exception {
+        node.mode = "silent";
+        serving();
+        try (Socket client = connect()) {
+            write(client, query("search", "q1", 2500, 0, 1, 2, 3));
+            String first = frame("m q1.").split(" ")[1];
+            node.send(node.sockets.get(0), "q" + first + " good 0 -\nx");
+            String answer = answer(client);
+            assertTrue(answer.startsWith("200 {\"total\":false,\"answers\":[{"), answer);
+        }
+        frame("nq1.");
+    }
+
+    @Test
+    void whatMayHaveRunAndCantRunAgainIsAborted() throws Exception {
+        serving();
+        for (String mode : new String[] {"bad", "reset", "garbage", "oversized"}) {
+            node.mode = mode;
+            assertEquals("504", status(query("hold", "q-" + mode, 3000, 0)).substring(0, 3), mode);
+        }
+        node.mode = "good";
+        until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200"));
+    }
+
+    @Test
+    void whatNeverRanIsRejected() throws Exception {
+        serving();
+        node.mode = "later";
+        assertEquals("503", status(query("hold", "q1", 1000, 0)).substring(0, 3));
+        node.server.close();
+        node.sockets.get(0).close();
+        assertEquals("503", status(query("hold", "q2", 1000, 0)).substring(0, 3));
+    }
+
+    @Test
+    void aSilentNodeCostsItsQueriesNoMoreThanTheirTime() throws Exception {
+        serving();
+        node.mode = "silent";
+        long start = System.nanoTime();
+        String answer = status(query("hold", "q1", 800, 0));
+        assertEquals("504", answer.substring(0, 3));
+        assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(LONG));
+        assertTrue(frame("m q1.0").endsWith("c41e77d0"));
+    }
+
+    @Test
+    void aClientThatLeavesHasItsPartsGivenUp() throws Exception {
+        serving();
+        node.mode = "silent";
+        try (Socket client = connect()) {
+            write(client, query("hold", "q1", 30_000, 0));
+            frame("m q1.0");
+        }
+        assertEquals("nq1.0", frame("n"));
+    }
+
+    // ---- discovery
+
+    @Test
+    void theListIsFollowedThroughDrainMoveAndHalfAnswers() throws Exception {
+        serving();
+        assertEquals("200", status(query("lookup", "q1", 3000, 0)).substring(0, 3));
+        Node moved = new Node();
+        discovery.tell(moved.entry("n1", "up"));
+        until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200")
+                && !moved.frames.isEmpty());
+        discovery.tellHalf();
+        until(() -> log.stream().anyMatch(line -> line.contains("discovery answers again")));
+        assertEquals("200", status(query("lookup", "q3", 3000, 0)).substring(0, 3));
+        discovery.tell(moved.entry("n1", "draining"));
+        until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("503"));
+        discovery.tell("");
+        until(() -> discovery.asked.stream().anyMatch(path -> path.contains("index=5")));
+        assertEquals("503", status(query("lookup", "q4", 3000, 0)).substring(0, 3));
+    }
+
+    @Test
+    void whileDiscoveryIsSilentTheListHeldLastServes() throws Exception {
+        discovery.server.close();
+        run(config("{\"seq\":7,\"whole\":true,\"hosts\":[" + node.entry("n1", "up") + "]}"));
+        until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200"));
+    }
+
+    @Test
+    void withoutAnyListItIsNotReady() throws Exception {
+        discovery.server.close();
+        run(config("null"));
+        until(() -> status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("503"));
+    }
+
+    // ---- bad input
+
+    @Test
+    void badInputOfClientsIsToldSoAndReachesNoNode() throws Exception {
+        serving();
+        String headers = "Req-Id: q1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 900\r\n";
+        String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
+        try (Socket client = connect()) {
+            assertAnswer(client, "404", post("/nothing", headers, body));
+            assertAnswer(client, "404", "GET / HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+            assertAnswer(client, "405", "GET /lookup HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+            for (String bad : new String[] {"", "7", body + "x", body.replace("}", ""), body.replace("ranges", "range"),
+                body.replace("\"range\":0", "\"range\":4"), body.replace("\"range\":0", "\"range\":-1"),
+                body.replace("\"portion\":1", "\"portion\":0"), body.replace("\"x\"", "7"), "{\"ranges\":[]}"}) {
+                assertAnswer(client, "400", post("/lookup", headers, bad));
+            }
+            assertAnswer(client, "400", post("/lookup", headers.replace("Req-Id: q1", "A: b"), body));
+            assertAnswer(client, "400", post("/lookup", headers.replace("acme", "other"), body));
+            assertAnswer(client, "400", post("/lookup", headers.replace("900", "soon"), body));
+            assertAnswer(client, "400", post("/hold", headers.replace("Req-Deadline-Ms: 900\r\n", ""), body));
+            assertTrue(node.frames.isEmpty());
+            assertAnswer(client, "200", post("/lookup", headers.replace("Req-Deadline-Ms: 900\r\n", ""), body));
+        }
+        assertEquals("413", status(post("/lookup", headers, "x".repeat(70_000))).substring(0, 3));
+    }
+
+    private static void assertAnswer(Socket client, String status, String request) throws IOException {
+        write(client, request);
+        assertEquals(status, answer(client).substring(0, 3), request);
+    }
+
+    @Test
+    void aConfigurationThatIsWrongIsNamedInOneLine() throws Exception {
+        run(config("null").replace("\"cells\":1", "\"cells\":\"x\""));
+        assertTrue(program.waitFor(LONG, TimeUnit.SECONDS));
+        assertEquals(1, program.exitValue());
+        assertTrue(log.poll(LONG, TimeUnit.SECONDS).contains("settings.domain.cells"));
+        assertFalse(log.stream().anyMatch(line -> line.startsWith("\tat")));
+    }
+
+    @Test
+    void anAddressInUseEndsTheStart() throws Exception {
+        String config = config("null");
+        String taken = config.replace(address, node.dial());
+        run(taken);
+        assertTrue(program.waitFor(LONG, TimeUnit.SECONDS));
+        assertEquals(1, program.exitValue());
+        assertTrue(log.poll(LONG, TimeUnit.SECONDS).contains("listen"));
+    }
+
+    @Test
+    void theCommandLineExplainsItself() throws Exception {
+        assertEquals(0, run("", "--help").waitFor());
+        assertEquals(0, run("", "version").waitFor());
+        assertTrue(log.poll(LONG, TimeUnit.SECONDS).startsWith("postbeam "));
+        assertEquals(2, run("", "dance").waitFor());
+        assertEquals(2, run("", "serve", "--fast").waitFor());
+    }
+
+    // ---- the end
+
+    @Test
+    void afterSigtermAllThatWasTakenIsAnsweredAndTheProgramExitsWithZero() throws Exception {
+        serving();
+        node.mode = "silent";
+        try (Socket open = connect(); Socket idle = connect()) {
+            write(open, query("hold", "q1", 30_000, 0));
+            frame("m q1.0");
+            assertAnswer(idle, "404", "GET /x HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+            program.destroy();
+            until(() -> status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("503"));
+            assertEquals("closed", answer(idle));
+            node.send(node.sockets.get(0), "qq1.0 good 0 -\nx");
+            assertEquals("200", answer(open).substring(0, 3));
+        }
+        assertTrue(program.waitFor(LONG, TimeUnit.SECONDS));
+        assertEquals(0, program.exitValue());
+    }
+
+    @Test
+    void nodesThatNeverComeUpCostNoDescriptors() throws Exception {
+        serving();
+        try (ServerSocket full = new ServerSocket(0, 1, HERE)) {
+            List<Socket> fillers = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                fillers.add(new Socket(HERE, full.getLocalPort()));
+            }
+            discovery.tell(node.entry("n1", "up").replace(node.dial(), "127.0.0.1:" + full.getLocalPort()));
+            until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("503"));
+            long before = descriptors();
+            for (int i = 0; i < 5; i++) {
+                status(query("lookup", "r" + i, 1500, 0));
+            }
+            until(() -> descriptors() <= before + 1);
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    private long descriptors() throws IOException {
+        try (var files = Files.list(Path.of("/proc/" + program.pid() + "/fd"))) {
+            return files.count();
+        }
+    }
+}
