--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -58,6 +58,7 @@
     private final Map<String, Duration> usualWaits;
     private final Set<String> owners;
     private final int shards;
+    private final int connectionsMost;
     private final XnioIoThread io;
     private final Undertow server;
     private final ExecutorService threads;
@@ -74,6 +75,7 @@
         this.usualWaits = usualWaits;
         this.owners = owners;
         this.shards = shards;
+        this.connectionsMost = connectionsMost;
         // As many threads as connections: no query ever waits for one.
         this.threads = new ThreadPoolExecutor(0, connectionsMost, THREAD_KEPT.toMillis(), TimeUnit.MILLISECONDS,
                 new SynchronousQueue<>(), run -> new Thread(run, "query"));
@@ -127,6 +129,10 @@
         ServerConnection connection = exchange.getConnection();
         busy.add(connection);
         if (connections.add(connection)) {
+            if (connections.size() == connectionsMost) {
+                LOG.log(System.Logger.Level.WARNING, "as many client connections as descriptors and memory allow: "
+                        + "{0}; further ones wait to be accepted", connectionsMost);
+            }
             connection.addCloseListener(closed -> {
                 connections.remove(closed);
                 busy.remove(closed);
--- a/src/main/java/postbeam/clients/QueryForm.java
+++ b/src/main/java/postbeam/clients/QueryForm.java
@@ -51,8 +51,8 @@
             if (shard < 0 || shard >= shards || !seen.add(shard) || !(weight > 0 && weight <= 1.001)) {
                 throw new IOException("range or portion can't be used: " + shard + ", " + weight);
             }
-            parts.add(new Asked.AskedPart(shard, weight, part.get("price") instanceof Number micros
-                    && micros.longValue() > 0 ? Duration.ofNanos(micros.longValue() * 1000) : null));
+            parts.add(new Asked.AskedPart(shard, weight, part.get("price") instanceof Integer micros && micros > 0
+                    ? Duration.ofNanos(micros * 1000L) : null));
         }
         if (parts.isEmpty()) {
             throw new IOException("ranges is empty");
--- a/src/main/java/postbeam/datanodes/DataNodes.java
+++ b/src/main/java/postbeam/datanodes/DataNodes.java
@@ -48,7 +48,12 @@
     /** Sends these calls to the node at the address, together in one frame; may be called on any thread. */
     public void send(String address, List<Call> calls) {
         io.execute(() -> {
-            NodeConnection connection = connection(address, calls.size());
+            NodeConnection connection = null;
+            try {
+                connection = connection(address, calls.size());
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "no connection to " + address, e);
+            }
             if (connection == null) {
                 decisions.report(calls.stream().map(call -> new Ending(call, Outcome.UNREACHABLE)).toList());
             } else {
--- a/src/main/java/postbeam/discovery/ListForm.java
+++ b/src/main/java/postbeam/discovery/ListForm.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
@@ -12,6 +13,9 @@
 
 /** The data-node list in discovery's form. */
 public final class ListForm {
+    private static final Pattern ADDRESS =
+            Pattern.compile("((25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.|(?=:))){4}:[0-9]{1,5}");
+
     private ListForm() {}
 
     static Told read(byte[] body) throws IOException {
@@ -45,8 +49,9 @@
                 Json.member(list, "whole", Boolean.class), entries, addresses);
     }
 
+    /** Numbers alone: a name would have to be looked up, and that waits. */
     private static String address(String dial) throws IOException {
-        if (!dial.matches("[^:]+:[0-9]{1,5}")) {
+        if (!ADDRESS.matcher(dial).matches() || Integer.parseInt(dial.substring(dial.indexOf(':') + 1)) > 65_535) {
             throw new IOException("dial is not an address: " + dial);
         }
         return dial;
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -67,6 +67,8 @@
                 this, usualWaits, Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1),
                 clientsMost);
         watch = new Watch(discovery, this::listed);
+        LOG.log(System.Logger.Level.INFO, "{0} at {1}: at most {2} client connections, {3} to data nodes",
+                startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
     }
 
     private void listed(Told told) {
--- a/src/main/java/postbeam/setup/Json.java
+++ b/src/main/java/postbeam/setup/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -11,7 +12,10 @@
 
 /** Reads JSON into maps, lists, strings, numbers and truth values. */
 public final class Json {
-    public static final JsonFactory FACTORY = new JsonFactory();
+    /** Levels: the deepest form here, the settings, has five. */
+    private static final int DEEPEST = 32;
+    public static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build()).build();
 
     private Json() {}
 
--- a/src/test/java/postbeam/RouterIT.java
+++ b/src/test/java/postbeam/RouterIT.java
@@ -260,10 +260,12 @@
 
     private Process run(String config, String... more) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx48m", "-XX:TieredStopAtLevel=1", "-jar", "target/postbeam.jar"));
-        command.addAll(more.length > 0 ? List.of(more) : List.of("serve", "--config", file.toString()));
-        program = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow().split("\"")[1];
+        String command = more.length > 0 ? run.replaceAll("serve$", String.join(" ", more)) : run;
+        ProcessBuilder start = new ProcessBuilder("/bin/sh", "-c", command).redirectErrorStream(true);
+        start.environment().put("BALANCER_CONFIG", file.toString());
+        program = start.start();
         log = new LinkedBlockingQueue<>();
         BufferedReader out = program.inputReader();
         daemon(() -> {
@@ -578,6 +580,34 @@
         }
     }
 
+    @Test
+    void aStormOfClientsIsAnsweredWithinTheLimits() throws Exception {
+        node.mode = "silent";
+        serving();
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            Socket client = connect();
+            write(client, query(i % 2 == 0 ? "hold" : "lookup", "q" + i, 2000, 0, 1, 2, 3));
+            clients.add(client);
+        }
+        assertTrue(descriptors() < 1024);
+        for (Socket client : clients) {
+            String status = answer(client).substring(0, 3);
+            assertTrue(status.equals("503") || status.equals("504"), status);
+        }
+        String memory = Files.readAllLines(Path.of("/proc/" + program.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM")).findFirst().orElseThrow().replaceAll("[^0-9]", "");
+        System.out.println("a storm of 300 clients: " + memory + " KB at most");
+        assertTrue(Integer.parseInt(memory) < 192 << 10, memory);
+    }
+
+    @Test
+    void aBodyNestedTooDeepIsNoQuery() throws Exception {
+        serving();
+        assertEquals("400", status(post("/lookup", "Req-Id: q1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 900\r\n",
+                "{\"ranges\":" + "[".repeat(30_000))).substring(0, 3));
+    }
+
     private long descriptors() throws IOException {
         try (var files = Files.list(Path.of("/proc/" + program.pid() + "/fd"))) {
             return files.count();
--- a/src/test/java/postbeam/discovery/ListFormTest.java
+++ b/src/test/java/postbeam/discovery/ListFormTest.java
@@ -37,7 +37,8 @@
     void aListThatIsMalformedInOnePlaceIsNotTakenAtAll() {
         String good = "{\"host\":\"s-1\",\"dial\":\"10.1.0.18:7070\",\"site\":\"a\",\"block\":3,\"health\":\"up\"}";
         for (String host : new String[] {"7", "{}", good.replace("up", "well"), good.replace("3", "\"x\""),
-            good.replace(":7070", ""), good + ",", good.substring(5)}) {
+            good.replace(":7070", ""), good.replace(":7070", ":70700"), good.replace("10.1.0.18", "node.local"),
+            good.replace("10.1.0.18", "10.1.0.300"), good + ",", good.substring(5)}) {
             assertThrows(IOException.class, () -> read(host), host);
         }
     }
