--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -34,6 +34,7 @@
     private final Watch watch;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final String started;
     private volatile boolean ready;
 
     public Router(Startup startup) throws IOException {
@@ -67,7 +68,7 @@
                 this, usualWaits, Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1),
                 clientsMost);
         watch = new Watch(discovery, this::listed);
-        LOG.log(System.Logger.Level.INFO, "{0} at {1}: at most {2} client connections, {3} to data nodes",
+        started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
     }
 
@@ -81,6 +82,7 @@
         thread("ticks", this::ticks);
         thread("discovery", watch);
         clients.start();
+        LOG.log(System.Logger.Level.INFO, started);
     }
 
     /** Waits until it is stopped. */
