--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -76,8 +76,8 @@
         this.owners = owners;
         this.shards = shards;
         this.connectionsMost = connectionsMost;
-        // As many threads as connections: no query ever waits for one.
-        this.threads = new ThreadPoolExecutor(0, connectionsMost, THREAD_KEPT.toMillis(), TimeUnit.MILLISECONDS,
+        // One for each connection, and as many again that are just ending: no query ever waits for a thread.
+        this.threads = new ThreadPoolExecutor(0, 2 * connectionsMost, THREAD_KEPT.toMillis(), TimeUnit.MILLISECONDS,
                 new SynchronousQueue<>(), run -> new Thread(run, "query"));
         this.server = Undertow.builder().setWorker(worker).addHttpListener(port, host).setHandler(this)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, connectionsMost)
@@ -274,6 +274,10 @@
         server.stop();
         io.execute(() -> List.copyOf(connections).stream().filter(connection -> !busy.contains(connection))
                 .forEach(IoUtils::safeClose));
+    }
+
+    /** Gives the threads back, once all is answered. */
+    public void stop() {
         threads.shutdown();
     }
 }
--- a/src/main/java/postbeam/datanodes/DataNodes.java
+++ b/src/main/java/postbeam/datanodes/DataNodes.java
@@ -132,11 +132,11 @@
 
     /** Closes what has stood idle. */
     private void sweep() {
+        io.executeAfter(this::sweep, sweepEvery(), TimeUnit.MILLISECONDS);
         for (List<NodeConnection> peer : List.copyOf(peers.values())) {
             for (NodeConnection connection : List.copyOf(peer)) {
                 connection.closeIfIdle();
             }
         }
-        io.executeAfter(this::sweep, sweepEvery(), TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/postbeam/discovery/ListForm.java
+++ b/src/main/java/postbeam/discovery/ListForm.java
@@ -18,11 +18,8 @@
 
     private ListForm() {}
 
-    static Told read(byte[] body) throws IOException {
-        return read(Json.object(body));
-    }
-
-    public static Told read(Map<String, Object> list) throws IOException {
+    /** An IOException says what can't be used of it; cells are numbered from 0 up to so many. */
+    public static Told read(Map<String, Object> list, int cells) throws IOException {
         List<Entry> entries = new ArrayList<>();
         Map<String, String> addresses = new LinkedHashMap<>();
         for (Object line : Json.member(list, "hosts", List.class)) {
@@ -41,8 +38,11 @@
                 addresses.put(name, address(Json.member(host, "dial", String.class)));
             }
             Object born = host.get("born_ms");
-            entries.add(new Entry(name, String.valueOf(host.get("site")),
-                    gone ? 0 : Json.member(host, "block", Number.class).intValue(),
+            int cell = gone ? 0 : Json.member(host, "block", Integer.class);
+            if (cell < 0 || cell >= cells) {
+                throw new IOException("block is no cell: " + cell);
+            }
+            entries.add(new Entry(name, String.valueOf(host.get("site")), cell,
                     born instanceof Number millis ? millis.longValue() * 1000 : 0, readiness));
         }
         return new Told(Json.member(list, "seq", Number.class).longValue(),
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import postbeam.roster.Told;
+import postbeam.setup.Json;
 
 /** Follows the data-node list on a thread of its own, so that nothing stands before what is told. */
 public final class Watch implements Runnable {
@@ -22,12 +23,14 @@
     private static final int LONGEST = 64 << 10;
 
     private final String address;
+    private final int cells;
     private final Consumer<Told> told;
     private volatile boolean stopped;
     private boolean failing;
 
-    public Watch(String address, Consumer<Told> told) {
+    public Watch(String address, int cells, Consumer<Told> told) {
         this.address = address;
+        this.cells = cells;
         this.told = told;
     }
 
@@ -80,7 +83,7 @@
                 call.disconnect();
                 throw new IOException("a list of over " + LONGEST + " bytes");
             }
-            return ListForm.read(bytes);
+            return ListForm.read(Json.object(bytes), cells);
         }
     }
 
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -55,8 +55,9 @@
             }
         }
         decisions = new Decisions(settings, startup.seed(), settings.atLeast("domain.partsACall", 1), connectWithin);
+        int cells = settings.atLeast("domain.cells", 1);
         if (startup.known() != null) {
-            listed(ListForm.read(startup.known()));
+            listed(ListForm.read(startup.known(), cells));
         }
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
@@ -67,7 +68,7 @@
         clients = new ClientDoor(worker, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)),
                 this, usualWaits, Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1),
                 clientsMost);
-        watch = new Watch(discovery, this::listed);
+        watch = new Watch(discovery, cells, this::listed);
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
     }
@@ -161,6 +162,7 @@
             });
         }
         watch.stop();
+        clients.stop();
         worker.shutdownNow();
     }
 }
--- a/src/test/java/postbeam/discovery/ListFormTest.java
+++ b/src/test/java/postbeam/discovery/ListFormTest.java
@@ -11,11 +11,13 @@
 import org.junit.jupiter.api.Test;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
+import postbeam.setup.Json;
 import postbeam.state.Readiness;
 
 class ListFormTest {
     private static Told read(String host) throws IOException {
-        return ListForm.read(("{\"seq\":43,\"whole\":true,\"hosts\":[" + host + "]}").getBytes(StandardCharsets.UTF_8));
+        String list = "{\"seq\":43,\"whole\":true,\"hosts\":[" + host + "]}";
+        return ListForm.read(Json.object(list.getBytes(StandardCharsets.UTF_8)), 9);
     }
 
     @Test
@@ -36,7 +38,7 @@
     @Test
     void aListThatIsMalformedInOnePlaceIsNotTakenAtAll() {
         String good = "{\"host\":\"s-1\",\"dial\":\"10.1.0.18:7070\",\"site\":\"a\",\"block\":3,\"health\":\"up\"}";
-        for (String host : new String[] {"7", "{}", good.replace("up", "well"), good.replace("3", "\"x\""),
+        for (String host : new String[] {"7", "{}", good.replace("up", "well"), good.replace("3", "\"x\""), good.replace("3", "9"),
             good.replace(":7070", ""), good.replace(":7070", ":70700"), good.replace("10.1.0.18", "node.local"),
             good.replace("10.1.0.18", "10.1.0.300"), good + ",", good.substring(5)}) {
             assertThrows(IOException.class, () -> read(host), host);
