--- a/src/test/java/postbeam/RouterIT.java
+++ b/src/test/java/postbeam/RouterIT.java
@@ -551,6 +551,8 @@
             assertAnswer(idle, "404", "GET /x HTTP/1.1\r\nHost: backend.local\r\n\r\n");
             program.destroy();
             until(() -> status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("503"));
+            node.mode = "good";
+            assertEquals("200", status(query("lookup", "q2", 3000, 0)).substring(0, 3));
             assertEquals("closed", answer(idle));
             node.send(node.sockets.get(0), "qq1.0 good 0 -\nx");
             assertEquals("200", answer(open).substring(0, 3));
