--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -62,7 +62,7 @@
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
         dataNodes = new DataNodes(worker.getIoThread(), decisions, settings.atLeast("caps.maxStreams", 1),
-                connectWithin, idleMost.minus(connectWithin.multipliedBy(2)), descriptors - clientsMost,
+                connectWithin, shortOf(idleMost, connectWithin), descriptors - clientsMost,
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         int colon = listen.lastIndexOf(':');
         clients = new ClientDoor(worker, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)),
@@ -91,6 +91,12 @@
         stopped.await();
     }
 
+    /** Closed so early that nothing written to it crosses the node's own closing; never at once. */
+    private static Duration shortOf(Duration idleMost, Duration connectWithin) {
+        Duration early = idleMost.minus(connectWithin.multipliedBy(2));
+        return early.compareTo(idleMost.dividedBy(2)) > 0 ? early : idleMost.dividedBy(2);
+    }
+
     private static void thread(String name, Runnable work) {
         Thread thread = new Thread(work, name);
         thread.setDaemon(true);
