Errors of the virtual machine end no thread unseen

The query threads, the ticks and the watch caught RuntimeException alone: a stack overflow or a failed allocation would have ended the thread, and its query without an answer. Found by reading.

--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -212,7 +212,7 @@
         Step last;
         try {
             last = queries.serve(q);
-        } catch (InterruptedException | RuntimeException e) {
+        } catch (InterruptedException | RuntimeException | Error e) {
             LOG.log(System.Logger.Level.ERROR, "serving a query failed", e);
             queries.left(q);
             last = new Step.Abort();
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -47,7 +47,7 @@
                     LOG.log(System.Logger.Level.INFO, "discovery answers again, list version {0}", version);
                 }
                 failing = false;
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | Error e) {
                 if (!failing) {
                     LOG.log(System.Logger.Level.WARNING, "discovery: {0}; the held list stays", e.toString());
                 }
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -229,7 +229,7 @@
         try {
             step.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             LOG.log(System.Logger.Level.ERROR, "deciding failed; a query is aborted for it", e);
         }
         OpenQuery victim = about != null && byQuery.containsKey(about.query) ? about
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -109,7 +109,7 @@
                 decisions.tick().forEach(this::carryOut);
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.log(System.Logger.Level.ERROR, "a tick failed", e);
             }
         }
