--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -51,6 +51,24 @@
         assertEquals(List.of(mine.get(2)), given.cancelled);
     }
 
+    @Test
+    void whatCantBeSentAgainIsNoTrialOfANodeThatFailed() {
+        Given two = new Given(2, true);
+        two.begun(repeatable, 1);
+        DataNode struck = two.sent.get(0).node;
+        ends(two, ms(10), two.sent.get(0), Outcome.RESET);
+        two.decide.probed(ms(600), struck, true);
+        for (int i = 0; i < 8; i++) {
+            two.sent.clear();
+            two.query(ms(700 + i), Given.vertical(Effect.SIDE_EFFECTING, 1), 1);
+            two.decide.turnEnded(ms(700 + i));
+            LeafCall call = two.sent.get(two.sent.size() - 1);
+            assertEquals(Effect.SIDE_EFFECTING, call.part.query.vertical.effect);
+            assertNotSame(struck, call.node);
+            ends(two, ms(700 + i), call, Outcome.MERGED);
+        }
+    }
+
     @Test
     void partsOfOneQueryShareOneOffset() {
         given.begun(repeatable, 3);
--- a/src/test/java/postbeam/RouterIT.java
+++ b/src/test/java/postbeam/RouterIT.java
@@ -87,7 +87,7 @@
         final ServerSocket server;
         final BlockingQueue<String> frames = new LinkedBlockingQueue<>();
         final List<Socket> sockets = new CopyOnWriteArrayList<>();
-        /** good, bad, later, silent, twice, stray, reset, garbage, oversized. */
+        /** good, bad, later, silent, twice, stray, reset, garbage, unusable, oversized. */
         volatile String mode = "good";
 
         Node() throws IOException {
@@ -131,6 +131,7 @@
             switch (mode) {
                 case "silent" -> { }
                 case "garbage" -> send(socket, "x?");
+                case "unusable" -> send(socket, "rno such shard");
                 case "oversized" -> socket.getOutputStream().write(new byte[] {0, 0, 0, 127});
                 case "stray" -> {
                     send(socket, "qnobody.1 good 0 -\nx");
@@ -406,7 +407,7 @@
     @Test
     void whatMayHaveRunAndCantRunAgainIsAborted() throws Exception {
         serving();
-        for (String mode : new String[] {"bad", "reset", "garbage", "oversized"}) {
+        for (String mode : new String[] {"bad", "reset", "garbage", "oversized", "unusable"}) {
             node.mode = mode;
             assertEquals("504", status(query("hold", "q-" + mode, 3000, 0)).substring(0, 3), mode);
         }
@@ -433,6 +434,11 @@
         assertEquals("504", answer.substring(0, 3));
         assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(LONG));
         assertTrue(frame("m q1.0").endsWith("c41e77d0"));
+        // The connection that stayed silent is not used again, and giving its last call up closes it.
+        node.mode = "good";
+        until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200"));
+        assertEquals(2, node.sockets.size());
+        assertFalse(log.stream().anyMatch(line -> line.contains("Exception")), log.toString());
     }
 
     @Test
