One piece each for addresses, for handing out steps and for a node that can't be reached

HOST:PORT was split in Router and in DataNodes: now Startup.socketAddress. Three places chose between a query's thread and the ticks: now Decisions.hand. The guard against an address that can't be opened stood in DataNodes.send alone, probes had none, and the connection was kept before it had opened: now in DataNodes.connection, which keeps it after. The scan of waiting frames ran on every read, now only for a doubtful connection; what is being written is a buffer, not a frame.

--- a/src/main/java/postbeam/datanodes/DataNodes.java
+++ b/src/main/java/postbeam/datanodes/DataNodes.java
@@ -1,6 +1,5 @@
 package postbeam.datanodes;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.IdentityHashMap;
@@ -12,6 +11,7 @@
 import postbeam.router.Call;
 import postbeam.router.Decisions;
 import postbeam.router.Ending;
+import postbeam.setup.Startup;
 import postbeam.state.Outcome;
 
 /**
@@ -48,12 +48,7 @@
     /** Sends these calls to the node at the address, together in one frame; may be called on any thread. */
     public void send(String address, List<Call> calls) {
         io.execute(() -> {
-            NodeConnection connection = null;
-            try {
-                connection = connection(address, calls.size());
-            } catch (RuntimeException e) {
-                LOG.log(System.Logger.Level.ERROR, "no connection to " + address, e);
-            }
+            NodeConnection connection = connection(address, calls.size());
             if (connection == null) {
                 decisions.report(calls.stream().map(call -> new Ending(call, Outcome.UNREACHABLE)).toList());
             } else {
@@ -84,10 +79,9 @@
         });
     }
 
-    /** An open connection with room for so many parts more, else a new one; null where there may be no more. */
+    /** An open connection with room for so many parts more, else a new one; null where none can be had. */
     private NodeConnection connection(String address, int parts) {
-        List<NodeConnection> peer = peers.computeIfAbsent(address, key -> new ArrayList<>());
-        for (NodeConnection connection : peer) {
+        for (NodeConnection connection : peers.getOrDefault(address, List.of())) {
             if (connection.takes(parts, partsAConnection)) {
                 return connection;
             }
@@ -97,13 +91,16 @@
                     connectionsMost);
             return null;
         }
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress to = new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1)));
         NodeConnection connection = new NodeConnection(this, decisions, address, connectWithin, idleMost);
-        peer.add(connection);
+        try {
+            connection.open(io, Startup.socketAddress(address));
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "no connection to " + address, e);
+            return null;
+        }
+        // Kept from here on: what failed to open at once has nothing to give back, and its end comes later.
+        peers.computeIfAbsent(address, key -> new ArrayList<>()).add(connection);
         connections++;
-        connection.open(io, to);
         return connection;
     }
 
--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -58,7 +58,7 @@
     private StreamConnection channel;
     private XnioExecutor.Key connectTimer;
     private ByteBuffer in = ByteBuffer.allocate(READ).order(ByteOrder.LITTLE_ENDIAN);
-    private Waiting writing;
+    private ByteBuffer writing;
     private long writingSince;
     private List<Out> writingCalls = List.of();
     private int callsWaiting;
@@ -154,9 +154,8 @@
     }
 
     private void closeIfDone() {
-        boolean wanted = waiting.stream().anyMatch(frame -> frame.calls() != null
-                && !frame.calls().stream().allMatch(Call::over));
-        if (doubtful && out.isEmpty() && !wanted && probes.isEmpty()) {
+        if (doubtful && out.isEmpty() && probes.isEmpty() && waiting.stream().allMatch(
+                frame -> frame.calls() == null || frame.calls().stream().allMatch(Call::over))) {
             close(null);
         }
     }
@@ -178,8 +177,8 @@
         ConduitStreamSinkChannel sink = channel.getSinkChannel();
         try {
             while (writing != null || next()) {
-                sink.write(writing.bytes());
-                if (writing.bytes().hasRemaining()) {
+                sink.write(writing);
+                if (writing.hasRemaining()) {
                     sink.resumeWrites();
                     return;
                 }
@@ -202,7 +201,7 @@
         while (!waiting.isEmpty()) {
             Waiting first = waiting.poll();
             if (first.calls() == null) {
-                writing = first;
+                writing = first.bytes();
                 writingSince = System.nanoTime();
                 return true;
             }
@@ -213,7 +212,7 @@
                         .map(call -> new Ending(call, Outcome.NEVER_SENT)).toList());
             }
             if (!live.isEmpty()) {
-                writing = new Waiting(null, Frames.call(live));
+                writing = Frames.call(live);
                 writingSince = System.nanoTime();
                 writingCalls = live.stream().map(Out::new).toList();
                 for (Out call : writingCalls) {
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -251,18 +251,22 @@
             for (int i = 0; i < calls.size(); i += partsACall) {
                 List<Call> together = List.copyOf(calls.subList(i, Math.min(calls.size(), i + partsACall)));
                 Step send = new Step.Send(addresses.get(node), together);
-                OpenQuery first = byQuery.get(together.get(0).leaf.part.query);
-                if (first == null) {
-                    errands.add(send);
-                    due.signal();
-                } else {
-                    first.add(send);
-                }
+                hand(byQuery.get(together.get(0).leaf.part.query), send);
             }
         });
         sends.clear();
     }
 
+    /** Gives the step to the query's thread or, where that is gone, to the one that ticks. */
+    private void hand(OpenQuery q, Step step) {
+        if (q == null) {
+            errands.add(step);
+            due.signal();
+        } else {
+            q.add(step);
+        }
+    }
+
     private void ended(Duration now, Ending ending) {
         LeafCall leaf = ending.call().leaf;
         OpenQuery q = byQuery.get(leaf.part.query);
@@ -283,7 +287,7 @@
     private void timedOut(LeafCall leaf) {
         Call call = out.get(leaf);
         if (call != null) {
-            errands.add(new Step.GiveUp(call));
+            hand(null, new Step.GiveUp(call));
             ended(now(), leaf, Outcome.TIMEOUT);
         }
     }
@@ -319,13 +323,7 @@
         if (call != null) {
             call.end();
             calledOff.add(leaf);
-            OpenQuery q = byQuery.get(leaf.part.query);
-            if (q == null) {
-                errands.add(new Step.GiveUp(call));
-                due.signal();
-            } else {
-                q.add(new Step.GiveUp(call));
-            }
+            hand(byQuery.get(leaf.part.query), new Step.GiveUp(call));
         }
     }
 
@@ -360,7 +358,7 @@
     public void probe(DataNode node) {
         Object mark = new Object();
         probes.put(node, mark);
-        errands.add(new Step.Probe(roster.name(node), addresses.get(node)));
+        hand(null, new Step.Probe(roster.name(node), addresses.get(node)));
         after(now().plus(probeWithin), () -> {
             if (probes.remove(node, mark)) {
                 decide.probed(now(), node, false);
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -1,6 +1,7 @@
 package postbeam.router;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -64,10 +65,9 @@
         dataNodes = new DataNodes(worker.getIoThread(), decisions, settings.atLeast("caps.maxStreams", 1),
                 connectWithin, shortOf(idleMost, connectWithin), descriptors - clientsMost,
                 !"none".equals(String.valueOf(settings.text("report.how"))));
-        int colon = listen.lastIndexOf(':');
-        clients = new ClientDoor(worker, listen.substring(0, colon), Integer.parseInt(listen.substring(colon + 1)),
-                this, usualWaits, Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1),
-                clientsMost);
+        InetSocketAddress at = Startup.socketAddress(listen);
+        clients = new ClientDoor(worker, at.getHostString(), at.getPort(), this, usualWaits,
+                Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1), clientsMost);
         watch = new Watch(discovery, cells, this::listed);
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
--- a/src/main/java/postbeam/setup/Startup.java
+++ b/src/main/java/postbeam/setup/Startup.java
@@ -1,6 +1,7 @@
 package postbeam.setup;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -59,6 +60,12 @@
         return told.get("known") instanceof Map<?, ?> list ? map(list) : null;
     }
 
+    /** HOST:PORT as where to connect or listen. */
+    public static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
     /** An address with its port. */
     public String address(String path) {
         String value = info.needed(path);
