Client connections without a request are given back; bad clients hear their error

Cause: ClientDoor had no limit for connections between requests (the library's default is 60,000 s), counted a connection only from its first request, and stopped accepting at the limit, so idle ones kept all others out. Also seen by a probe over sockets: 413 and 400 lost to a reset, since the library closes on unread input; two Req-Id or Req-Deadline-Ms taken; portions that add up to 0.6 passed on.

Now ClientDoor knows each connection from its accept. One that has had no whole request for 2.3 s is cut (silent, half heads and half bodies, idle); where few are free, those that never asked go after 0.2 s, then the longest idle. Each socket is a ClientConnection: whatever closes it, its output ends first and what the client still sends is read off for 2 s at most. A client that sends on before its answer gets that answer, then the close: before, its taken query was lost.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -75,7 +75,7 @@
         }
         try {
             router.start();
-        } catch (RuntimeException e) {
+        } catch (IOException e) {
             System.err.println("postbeam: can't listen: " + e.getMessage());
             return 1;
         }
--- /dev/null
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -0,0 +1,222 @@
+package postbeam.clients;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.Option;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSinkConduit;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSinkConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * A client's socket, on the I/O thread alone. Closing it while the client still sends would have its machine
+ * throw away the answer before the client reads it; so whatever closes it, what the client still sends is read off
+ * and dropped for a while before the socket goes. It is given back in {@link #cut}, and only there.
+ */
+final class ClientConnection extends StreamConnection {
+    /** How long what still comes is read off: time enough to read an answer, and within what a bad client is owed. */
+    private static final Duration LINGER = Duration.ofSeconds(2);
+    /** Bytes read off at once: so much that a body of many MB costs few turns of the I/O thread. */
+    private static final int READ_OFF = 32 << 10;
+    /** Shared by all connections: what is in it is thrown away. */
+    private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(READ_OFF);
+
+    private final StreamConnection socket;
+    private final StreamSourceConduit input;
+    private final StreamSinkConduit output;
+    private XnioExecutor.Key timer;
+    private boolean ending;
+    /** Since when it waits for its next request to be there as a whole. */
+    long waitsSince = System.nanoTime();
+    /** A whole request has come on it. */
+    boolean hasAsked;
+    /** A whole request is in, and its answer not yet out. */
+    boolean busy;
+
+    ClientConnection(StreamConnection socket) {
+        super(socket.getIoThread());
+        this.socket = socket;
+        this.input = socket.getSourceChannel().getConduit();
+        setSourceConduit(new InputUntilClosed());
+        this.output = socket.getSinkChannel().getConduit();
+        setSinkConduit(new OutputUntilClosed());
+    }
+
+    /** Gives the socket back at once; no bytes are owed on it any more. */
+    void cut() {
+        if (timer != null) {
+            timer.remove();
+        }
+        IoUtils.safeClose(socket);
+        IoUtils.safeClose(this);
+    }
+
+    boolean gone() {
+        return !socket.isOpen();
+    }
+
+    /** Answers in place of the HTTP library, which would wait for the rest of the request, and closes. */
+    void turnAway(int status, String reason) {
+        ByteBuffer answer = ByteBuffer.wrap(("HTTP/1.1 " + status + " " + reason + "\r\nContent-Type: text/plain\r\n"
+                + "Connection: close\r\nContent-Length: " + (reason.length() + 1) + "\r\n\r\n" + reason + "\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        try {
+            // Nothing else is in the socket's buffer, so that this fits; if not, the close alone has to tell.
+            output.write(answer);
+        } catch (IOException e) {
+            cut();
+        }
+        IoUtils.safeClose(this);
+    }
+
+    /** The input for the HTTP library: once closed it brings nothing more, and closing it leaves the socket's open. */
+    private final class InputUntilClosed extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        InputUntilClosed() {
+            super(input);
+        }
+
+        @Override
+        public long transferTo(long at, long count, FileChannel to) throws IOException {
+            return ending ? 0 : super.transferTo(at, count, to);
+        }
+
+        @Override
+        public long transferTo(long count, ByteBuffer through, StreamSinkChannel to) throws IOException {
+            return ending ? 0 : super.transferTo(count, through, to);
+        }
+
+        @Override
+        public int read(ByteBuffer to) throws IOException {
+            return ending ? 0 : super.read(to);
+        }
+
+        @Override
+        public long read(ByteBuffer[] to, int at, int count) throws IOException {
+            return ending ? 0 : super.read(to, at, count);
+        }
+
+        @Override
+        public void terminateReads() { }
+    }
+
+    /** The same for the output: once closed, whatever the library would still say is late. */
+    private final class OutputUntilClosed extends AbstractStreamSinkConduit<StreamSinkConduit> {
+        OutputUntilClosed() {
+            super(output);
+        }
+
+        private void check() throws IOException {
+            if (ending) {
+                throw new ClosedChannelException();
+            }
+        }
+
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+            check();
+            return super.write(from);
+        }
+
+        @Override
+        public long write(ByteBuffer[] from, int at, int count) throws IOException {
+            check();
+            return super.write(from, at, count);
+        }
+
+        @Override
+        public void terminateWrites() throws IOException {
+            check();
+            super.terminateWrites();
+        }
+
+        @Override
+        public void truncateWrites() throws IOException {
+            check();
+            super.truncateWrites();
+        }
+    }
+
+    /** Lingers once this event is over: until then the HTTP library may still set up. */
+    @Override
+    protected void closeAction() {
+        ending = true;
+        getIoThread().execute(this::linger);
+    }
+
+    private void linger() {
+        try {
+            output.terminateWrites();
+            if (!output.flush()) {
+                getSinkChannel().setWriteListener(ChannelListeners.flushingChannelListener(null, (channel, e) -> cut()));
+                output.resumeWrites();
+            }
+            if (readOff() < 0) {
+                cut();
+                return;
+            }
+        } catch (IOException e) {
+            cut();
+            return;
+        }
+        timer = getIoThread().executeAfter(this::cut, LINGER.toMillis(), TimeUnit.MILLISECONDS);
+        getSourceChannel().setReadListener(channel -> {
+            try {
+                if (readOff() < 0) {
+                    cut();
+                }
+            } catch (IOException e) {
+                cut();
+            }
+        });
+        input.resumeReads();
+    }
+
+    /** Reads what has come and drops it: how much, or -1 at the end. */
+    int readOff() throws IOException {
+        DROPPED.clear();
+        return input.read(DROPPED);
+    }
+
+    // The two ways are closed by closeAction, each when its time has come.
+    @Override
+    protected void notifyReadClosed() { }
+
+    @Override
+    protected void notifyWriteClosed() { }
+
+    @Override
+    public SocketAddress getPeerAddress() {
+        return socket.getPeerAddress();
+    }
+
+    @Override
+    public SocketAddress getLocalAddress() {
+        return socket.getLocalAddress();
+    }
+
+    @Override
+    public boolean supportsOption(Option<?> option) {
+        return socket.supportsOption(option);
+    }
+
+    @Override
+    public <T> T getOption(Option<T> option) throws IOException {
+        return socket.getOption(option);
+    }
+
+    @Override
+    public <T> T setOption(Option<T> option, T value) throws IOException {
+        return socket.setOption(option, value);
+    }
+}
--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -1,19 +1,20 @@
 package postbeam.clients;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
-import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,11 +22,17 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.XnioExecutor;
+import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
 import postbeam.router.Asked;
 import postbeam.router.OpenQuery;
@@ -36,10 +43,31 @@
     private static final System.Logger LOG = System.getLogger(ClientDoor.class.getName());
     /** Bytes: the protocol's limit for a body. */
     private static final long LONGEST_BODY = 64 << 10;
+    private static final String TOO_LARGE = "the body is over 64 KiB";
+    /** Bytes: heads here hold a few hundred; what is longer is no query. */
+    private static final int LONGEST_HEAD = 8 << 10;
+    /** Bytes in a buffer of the HTTP library: a usual head or answer fits into one. */
+    private static final int BUFFER = 1024;
+    /** Buffers kept for the next request; a buffer is held only while bytes of a request are in it. */
+    private static final int BUFFERS_KEPT = 64;
+    /**
+     * How long a connection may be without a whole request, from its opening or its last answer: the clients' page
+     * lets one go after 2 s, and owes a bad client its end within 3 s of connecting. Silent connections, heads that
+     * never end and bodies that don't come all end by it; it could hurt a client that sends a query that slowly.
+     */
+    private static final Duration WAIT_MOST = Duration.ofMillis(2300);
+    /** Between looks for such connections: fine beside what is left of the 3 s, coarse beside a turn. */
+    private static final Duration SWEEP = Duration.ofMillis(100);
+    /** Connections kept free, so that a client soon finds room while another one only stands idle. */
+    private static final int KEPT_FREE = 8;
+    /** How long each is left to ask, however many connect: a client's first bytes follow its connecting. */
+    private static final Duration LEFT_TO_ASK = Duration.ofMillis(200);
+    /** Connections that the machine holds until they are accepted. */
+    private static final int BACKLOG = 1000;
+    /** Bytes a client may send on before its answer, read off so that its leaving is still seen. */
+    private static final int SENT_ON_MOST = 64 << 10;
     /** How long a query's thread is kept for the next. */
     private static final Duration THREAD_KEPT = Duration.ofSeconds(30);
-    /** How long a body may take to come where the settings state no wait for its vertical. */
-    private static final Duration LONGEST_READ = Duration.ofSeconds(60);
 
     /** What stands behind the door. */
     public interface Queries {
@@ -59,19 +87,23 @@
     private final Set<String> owners;
     private final int shards;
     private final int connectionsMost;
+    private final XnioWorker worker;
     private final XnioIoThread io;
-    private final Undertow server;
+    private final InetSocketAddress listen;
+    private final HttpOpenListener http;
+    private AcceptingChannel<StreamConnection> server;
     private final ExecutorService threads;
-    /** On the I/O thread alone: the connections that have brought a request, and those that are at one. */
-    private final Set<ServerConnection> connections = new HashSet<>();
-    private final Set<ServerConnection> busy = new HashSet<>();
+    /** On the I/O thread alone: all that are open, those that have waited longest first. */
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile boolean leaving;
 
     /** The usual wait of a vertical is null where the settings state none. */
-    public ClientDoor(XnioWorker worker, String host, int port, Queries queries, Map<String, Duration> usualWaits,
+    public ClientDoor(XnioWorker worker, InetSocketAddress listen, Queries queries, Map<String, Duration> usualWaits,
             Set<String> owners, int shards, int connectionsMost) {
         this.queries = queries;
+        this.worker = worker;
         this.io = worker.getIoThread();
+        this.listen = listen;
         this.usualWaits = usualWaits;
         this.owners = owners;
         this.shards = shards;
@@ -79,97 +111,167 @@
         // One for each connection, and as many again that are just ending: no query ever waits for a thread.
         this.threads = new ThreadPoolExecutor(0, 2 * connectionsMost, THREAD_KEPT.toMillis(), TimeUnit.MILLISECONDS,
                 new SynchronousQueue<>(), run -> new Thread(run, "query"));
-        this.server = Undertow.builder().setWorker(worker).addHttpListener(port, host).setHandler(this)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, connectionsMost)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, connectionsMost)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, LONGEST_BODY)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .build();
+        this.http = new HttpOpenListener(new DefaultByteBufferPool(false, BUFFER, BUFFERS_KEPT, 0),
+                OptionMap.builder().set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, -1L)
+                        .set(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
+        http.setRootHandler(this);
     }
 
-    /** Starts to listen; a RuntimeException tells why it can't. */
-    public void start() {
-        server.start();
+    /** Starts to listen; an IOException tells why it can't. */
+    public void start() throws IOException {
+        ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
+        server = worker.createStreamConnectionServer(listen, accept, OptionMap.builder()
+                .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
+                .set(Options.CONNECTION_HIGH_WATER, connectionsMost)
+                .set(Options.CONNECTION_LOW_WATER, connectionsMost).getMap());
+        server.resumeAccepts();
+        io.executeAfter(this::sweep, SWEEP.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    // ---- connections
+
+    private void accept(AcceptingChannel<StreamConnection> from) {
+        try {
+            StreamConnection socket = from.accept();
+            if (socket == null) {
+                return;
+            }
+            ClientConnection connection = new ClientConnection(socket);
+            connections.add(connection);
+            socket.setCloseListener(closed -> {
+                connections.remove(connection);
+                IoUtils.safeClose(connection);
+            });
+            http.handleEvent(connection);
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "a client can''t be accepted: {0}", e.getMessage());
+        }
+    }
+
+    /**
+     * Gives back connections without a whole request for too long. Guards against clients that take connections
+     * and do not use them, by the hundred or one by one for good: where few are free, those that never asked go
+     * sooner, then as many of the others as are needed, the longest idle first. Where all are busy, further clients wait to be accepted.
+     * It could hurt a client that is slow to ask while hundreds connect.
+     */
+    private void sweep() {
+        io.executeAfter(this::sweep, SWEEP.toMillis(), TimeUnit.MILLISECONDS);
+        cut(connections.size(), WAIT_MOST, connection -> true);
+        if (connections.size() + KEPT_FREE > connectionsMost) {
+            cut(connections.size(), LEFT_TO_ASK, connection -> !connection.hasAsked);
+            cut(connections.size() + KEPT_FREE - connectionsMost, LEFT_TO_ASK, connection -> true);
+        }
+    }
+
+    /** Cuts up to so many that have waited for so long, the longest first. */
+    private void cut(int most, Duration waited, Predicate<ClientConnection> which) {
+        long since = System.nanoTime() - waited.toNanos();
+        List.copyOf(connections).stream()
+                .filter(connection -> !connection.busy && connection.waitsSince - since < 0 && which.test(connection))
+                .limit(Math.max(0, most)).forEach(ClientConnection::cut);
+    }
+
+    private static ClientConnection connection(HttpServerExchange exchange) {
+        return (ClientConnection) ((HttpServerConnection) exchange.getConnection()).getChannel();
+    }
+
+    // ---- requests
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long begun = System.nanoTime();
-        begin(exchange);
+        if (leaving) {
+            exchange.setPersistent(false);
+        }
         String path = exchange.getRequestPath();
+        if (!lengthFits(exchange)) {
+            say(exchange, 413, TOO_LARGE);
+            return;
+        }
         if (path.equals("/healthz")) {
             boolean ready = queries.ready() && !leaving;
-            say(exchange, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+            say(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
             return;
         }
         int end = path.indexOf('/', 1);
         String vertical = path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
         if (!usualWaits.containsKey(vertical)) {
-            say(exchange, 404, "no such vertical\n");
+            say(exchange, 404, "no such vertical");
         } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
             exchange.getResponseHeaders().put(Headers.ALLOW, "POST");
-            say(exchange, 405, "queries are POSTed\n");
+            say(exchange, 405, "queries are POSTed");
         } else {
-            Duration usual = usualWaits.get(vertical);
-            XnioExecutor.Key slow = exchange.getIoThread().executeAfter(
-                    () -> IoUtils.safeClose(exchange.getConnection()),
-                    (usual == null ? LONGEST_READ : usual).toMillis(), TimeUnit.MILLISECONDS);
-            exchange.getRequestReceiver().receiveFullBytes((read, body) -> {
-                slow.remove();
-                take(read, body, vertical, begun);
-            }, (failed, e) -> {
-                slow.remove();
-                unread(failed, e);
-            });
+            read(exchange, exchange.getRequestChannel(), new ByteArrayOutputStream(),
+                    body -> take(exchange, body, vertical, begun));
         }
     }
 
-    /** Counts the request until its answer is written. */
-    private void begin(HttpServerExchange exchange) {
-        ServerConnection connection = exchange.getConnection();
-        busy.add(connection);
-        if (connections.add(connection)) {
-            if (connections.size() == connectionsMost) {
-                LOG.log(System.Logger.Level.WARNING, "as many client connections as descriptors and memory allow: "
-                        + "{0}; further ones wait to be accepted", connectionsMost);
+    /** Reads on as long as the body fits; the library's own limit would print a trace for each that does not. */
+    private static void read(HttpServerExchange exchange, StreamSourceChannel from, ByteArrayOutputStream body,
+            Consumer<byte[]> whole) {
+        ByteBuffer some = ByteBuffer.allocate(BUFFER);
+        try {
+            int got;
+            while ((got = from.read(some.clear())) > 0 && body.size() <= LONGEST_BODY) {
+                body.write(some.array(), 0, got);
             }
-            connection.addCloseListener(closed -> {
-                connections.remove(closed);
-                busy.remove(closed);
-            });
-        }
-        exchange.addExchangeCompleteListener((done, next) -> {
-            busy.remove(connection);
-            next.proceed();
-        });
-        if (leaving) {
-            exchange.setPersistent(false);
+            if (body.size() > LONGEST_BODY) {
+                connection(exchange).turnAway(413, TOO_LARGE);
+            } else if (got < 0) {
+                whole.accept(body.toByteArray());
+            } else {
+                from.getReadSetter().set(channel -> {
+                    channel.suspendReads();
+                    read(exchange, channel, body, whole);
+                });
+                from.resumeReads();
+            }
+        } catch (IOException e) {
+            connection(exchange).turnAway(400, "the body can't be read");
         }
     }
 
-    private void unread(HttpServerExchange exchange, IOException e) {
-        if (e instanceof RequestTooBigException) {
-            exchange.setPersistent(false);
-            say(exchange, 413, "the body is over 64 KiB\n");
-        } else {
-            IoUtils.safeClose(exchange.getConnection());
+    private static boolean lengthFits(HttpServerExchange exchange) {
+        try {
+            return exchange.getRequestContentLength() <= LONGEST_BODY;
+        } catch (NumberFormatException e) {
+            // Only digits get so far: more of them than any number here has.
+            return false;
         }
     }
 
+    /** Counts the request as open until its answer is written. */
+    private void begin(HttpServerExchange exchange) {
+        ClientConnection connection = connection(exchange);
+        connection.busy = true;
+        connection.hasAsked = true;
+        exchange.addExchangeCompleteListener((done, next) -> {
+            connection.busy = false;
+            connection.waitsSince = System.nanoTime();
+            if (connections.remove(connection)) {
+                connections.add(connection);
+            }
+            next.proceed();
+        });
+    }
+
     /** The last byte has been read: the decisions see the query now, on this thread. */
     private void take(HttpServerExchange exchange, byte[] body, String vertical, long begun) {
         Asked asked;
         try {
             asked = QueryForm.read(exchange, body, vertical, owners, shards, usualWaits.get(vertical));
         } catch (IOException e) {
-            say(exchange, 400, e.getMessage().lines().findFirst().orElse("") + "\n");
+            say(exchange, 400, e.getMessage().lines().findFirst().orElse(""));
             return;
         }
         OpenQuery q = queries.take(asked, Duration.ofNanos(System.nanoTime() - begun));
         if (q == null) {
-            say(exchange, 400, "a query of this Req-Id is open\n");
+            say(exchange, 400, "a query of this Req-Id is open");
             return;
         }
+        begin(exchange);
         exchange.dispatch(threads, () -> serve(exchange, q));
         // Once this event is over: until then Undertow sets up and stops reading by itself.
         io.execute(() -> watch(exchange, q));
@@ -185,24 +287,29 @@
             queries.left(q);
             return;
         }
-        ByteBuffer one = ByteBuffer.allocate(1);
         // The socket itself: the channel over it ends with the request's body, and then tells no more.
         StreamSourceConduit socket = connection.getOriginalSourceConduit();
+        int[] sentOn = {0};
         connection.getChannel().getSourceChannel().setReadListener(channel -> {
             try {
-                int got = socket.read(one);
-                if (got == 0) {
+                int got = connection(exchange).readOff();
+                if (got >= 0) {
+                    // What is sent on before the answer can't be kept in order: the query that was taken is
+                    // answered, and the connection closed after it.
+                    sentOn[0] += got;
+                    if (got > 0) {
+                        exchange.setPersistent(false);
+                    }
+                    if (sentOn[0] > SENT_ON_MOST) {
+                        socket.suspendReads();
+                    }
                     return;
                 }
-                if (got > 0) {
-                    // A client that sends on before its answer is in: its bytes can't be kept in order.
-                    LOG.log(System.Logger.Level.WARNING, "a client sent on before its answer; it is cut off");
-                }
             } catch (IOException e) {
                 LOG.log(System.Logger.Level.DEBUG, "a client''s connection broke: {0}", e.getMessage());
             }
             socket.suspendReads();
-            IoUtils.safeClose(connection);
+            connection(exchange).cut();
             queries.left(q);
         });
         socket.resumeReads();
@@ -225,7 +332,7 @@
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         connection.getOriginalSourceConduit().suspendReads();
         if (last instanceof Step.Over || !connection.isOpen()) {
-            IoUtils.safeClose(connection);
+            connection(exchange).cut();
             exchange.endExchange();
             return;
         }
@@ -238,23 +345,28 @@
                 exchange.getResponseSender().send(ByteBuffer.wrap(QueryForm.write(answer)));
             } catch (IOException e) {
                 LOG.log(System.Logger.Level.ERROR, "an answer can't be encoded", e);
-                say(exchange, 500, "the answer can't be encoded\n");
+                say(exchange, 500, "the answer can't be encoded");
             }
         } else if (last instanceof Step.Reject reject) {
             if (!reject.comeBack().isZero()) {
                 exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
                         String.valueOf(reject.comeBack().toMillis() / 1000.0));
             }
-            say(exchange, 503, "rejected; asking again is harmless\n");
+            say(exchange, 503, "rejected; asking again is harmless");
         } else {
-            say(exchange, 504, "aborted\n");
+            say(exchange, 504, "aborted");
         }
     }
 
     private static void say(HttpServerExchange exchange, int status, String text) {
+        if (!exchange.isRequestComplete() && !(lengthFits(exchange) && exchange.getRequestContentLength() >= 0)) {
+            // The library would read the rest first, however much it is.
+            connection(exchange).turnAway(status, text);
+            return;
+        }
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
-        exchange.getResponseSender().send(text, StandardCharsets.UTF_8);
+        exchange.getResponseSender().send(text + "\n", StandardCharsets.UTF_8);
     }
 
     // ---- the way out
@@ -266,13 +378,13 @@
 
     /** Whether all requests are answered to their last byte; to be asked on the I/O thread. */
     public boolean idle() {
-        return busy.isEmpty();
+        return connections.stream().noneMatch(connection -> connection.busy);
     }
 
     /** Takes no new connection, and closes those that are between requests. */
     public void close() {
-        server.stop();
-        io.execute(() -> List.copyOf(connections).stream().filter(connection -> !busy.contains(connection))
+        IoUtils.safeClose(server);
+        io.execute(() -> List.copyOf(connections).stream().filter(connection -> !connection.busy)
                 .forEach(IoUtils::safeClose));
     }
 
--- a/src/main/java/postbeam/clients/QueryForm.java
+++ b/src/main/java/postbeam/clients/QueryForm.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -26,6 +27,9 @@
     /** Milliseconds: a day; no client waits so long. */
     private static final long LONGEST_WAIT = 86_400_000;
 
+    /** Of a whole: what is lost where portions are written with few digits. */
+    private static final double ROUNDING = 0.005;
+
     private QueryForm() {}
 
     /** An IOException says what can't be used. */
@@ -48,14 +52,15 @@
             }
             int shard = Json.member(part, "range", Integer.class);
             double weight = Json.member(part, "portion", Number.class).doubleValue();
-            if (shard < 0 || shard >= shards || !seen.add(shard) || !(weight > 0 && weight <= 1.001)) {
+            if (shard < 0 || shard >= shards || !seen.add(shard) || !(weight > 0 && weight <= 1 + ROUNDING)) {
                 throw new IOException("range or portion can't be used: " + shard + ", " + weight);
             }
             parts.add(new Asked.AskedPart(shard, weight, part.get("price") instanceof Integer micros && micros > 0
                     ? Duration.ofNanos(micros * 1000L) : null));
         }
-        if (parts.isEmpty()) {
-            throw new IOException("ranges is empty");
+        double sum = parts.stream().mapToDouble(Asked.AskedPart::weight).sum();
+        if (Math.abs(sum - 1) > ROUNDING) {
+            throw new IOException("the portions of ranges add up to " + sum + ", not 1");
         }
         byte[] text = Json.member(query, "predicate", String.class).getBytes(StandardCharsets.UTF_8);
         return new Asked(id, vertical, owner, wait(header(exchange, DEADLINE), usualWait), parts, text);
@@ -76,8 +81,13 @@
         throw new IOException("Req-Deadline-Ms is missing or can't be used");
     }
 
-    private static String header(HttpServerExchange exchange, HttpString name) {
-        return exchange.getRequestHeaders().getFirst(name);
+    /** Null where it is missing; which of two was meant nobody can tell. */
+    private static String header(HttpServerExchange exchange, HttpString name) throws IOException {
+        HeaderValues values = exchange.getRequestHeaders().get(name);
+        if (values != null && values.size() > 1) {
+            throw new IOException(name + " stands there twice");
+        }
+        return values == null ? null : values.getFirst();
     }
 
     static byte[] write(Step.Answer answer) throws IOException {
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -1,7 +1,6 @@
 package postbeam.router;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -65,8 +64,7 @@
         dataNodes = new DataNodes(worker.getIoThread(), decisions, settings.atLeast("caps.maxStreams", 1),
                 connectWithin, shortOf(idleMost, connectWithin), descriptors - clientsMost,
                 !"none".equals(String.valueOf(settings.text("report.how"))));
-        InetSocketAddress at = Startup.socketAddress(listen);
-        clients = new ClientDoor(worker, at.getHostString(), at.getPort(), this, usualWaits,
+        clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1), clientsMost);
         watch = new Watch(discovery, cells, this::listed);
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
@@ -78,8 +76,8 @@
         ready |= !told.entries().isEmpty();
     }
 
-    /** Starts to serve; a RuntimeException says why it can't listen. */
-    public void start() {
+    /** Starts to serve; an IOException says why it can't listen. */
+    public void start() throws IOException {
         thread("ticks", this::ticks);
         thread("discovery", watch);
         clients.start();
--- a/src/test/java/postbeam/RouterIT.java
+++ b/src/test/java/postbeam/RouterIT.java
@@ -335,9 +335,14 @@
         return head.substring(9, 12) + " " + retry + new String(in.readNBytes(length), StandardCharsets.UTF_8);
     }
 
+    /** The answer; a close while the request is still being sent is none of its own. */
     private String status(String request) throws IOException {
         try (Socket socket = connect()) {
-            write(socket, request);
+            try {
+                write(socket, request);
+            } catch (IOException e) {
+                // What counts is what can be read.
+            }
             return answer(socket);
         }
     }
@@ -512,6 +517,72 @@
         assertEquals("413", status(post("/lookup", headers, "x".repeat(70_000))).substring(0, 3));
     }
 
+    /** What can't be read is told so, and the telling survives what the client still sends. */
+    @Test
+    void whatCantBeReadIsToldSoBeforeTheConnectionCloses() throws Exception {
+        serving();
+        String head = "Req-Id: q1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 900\r\n";
+        String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
+        String start = "POST /lookup HTTP/1.1\r\nHost: b\r\n" + head;
+        String chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+        assertEquals("4", status(start + "Content-Length: 99999999999999999999999\r\n\r\n" + body).substring(0, 1));
+        for (String bad : new String[] {"A: b\r\n".repeat(200_000), "POST /" + "a".repeat(3_000_000),
+            start + "Content-Length: -5\r\n\r\n" + body, start + "Content-Length: soon\r\n\r\n" + body,
+            start + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n" + body,
+            start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + post("/lookup", head, body),
+            chunked + "zz\r\nabc\r\n0\r\n\r\n", chunked + "ffffffffffffffff\r\n" + body, "hello\r\n\r\n",
+            post("/lookup", head + "Req-Id: q2\r\n", body), post("/lookup", head + "Req-Deadline-Ms: 9\r\n", body),
+            post("/lookup", head, body.replace(":1}", ":0.4},{\"range\":1,\"portion\":0.4}"))}) {
+            assertEquals("400", status(bad).substring(0, 3), bad.substring(0, Math.min(300, bad.length())));
+        }
+        String large = "x".repeat(60_000_000);
+        for (String bad : new String[] {start + "Content-Length: 60000000\r\n\r\n" + large, chunked + "3938700\r\n" + large,
+            chunked + ("ffff\r\n" + "x".repeat(0xffff) + "\r\n").repeat(2) + "3938700\r\n" + large}) {
+            assertEquals("413", status(bad).substring(0, 3), bad.substring(0, 170));
+        }
+        assertTrue(node.frames.isEmpty(), node.frames.toString());
+        assertFalse(log.stream().anyMatch(line -> line.contains("\tat ")), log.toString());
+    }
+
+    @Test
+    void connectionsWithoutARequestAreGivenBackInTimeAndTheUsualClientsFindRoom() throws Exception {
+        run(config("null").replace("\"sockets\":1024", "\"sockets\":256"));
+        until(() -> status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("200"));
+        List<Socket> bad = new ArrayList<>();
+        long start = System.nanoTime();
+        for (int i = 0; i < 300; i++) {
+            bad.add(connect());
+            write(bad.get(i), new String[] {"", "POST /look", query("lookup", "h" + i, 900, 0).replaceAll(".$", "")}[i % 3]);
+        }
+        assertEquals("200", status(query("lookup", "q1", 3000, 0)).substring(0, 3));
+        for (Socket socket : bad) {
+            assertEquals("closed", answer(socket));
+        }
+        assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(5));
+        // And those that ask once and stay.
+        for (int i = 0; i < 300; i++) {
+            Socket client = connect();
+            assertAnswer(client, "200", query("lookup", "s" + i, 3000, 0));
+        }
+        until(() -> descriptors() < 60);
+    }
+
+    @Test
+    void aClientThatSendsOnBeforeItsAnswerIsAnsweredAndThenCutOff() throws Exception {
+        serving();
+        node.mode = "silent";
+        try (Socket client = connect()) {
+            write(client, query("hold", "q1", 3000, 0));
+            frame("m q1.0");
+            write(client, query("hold", "q2", 3000, 0));
+            Thread.sleep(100);
+            node.send(node.sockets.get(0), "qq1.0 good 0 -\nx");
+            assertEquals("200", answer(client).substring(0, 3));
+            assertEquals("closed", answer(client));
+        }
+        assertTrue(node.frames.isEmpty(), node.frames.toString());
+    }
+
     private static void assertAnswer(Socket client, String status, String request) throws IOException {
         write(client, request);
         assertEquals(status, answer(client).substring(0, 3), request);
