Turns that take the core are ended together; slots cost one look at each query

Checked: stacks taken every 2 s stand in Decide.fill (before, worthLittle, alpha) and in Held.crowded under settle; the I/O thread and the ticks wait for each other's turns. Cause: each event ended a turn of its own; fill compared all candidates anew for each slot, and with each pair asked worthLittle of both (parts x replicas); crowded passed over all open queries for each late one. A cold JVM on part of a core falls behind, more are open, each turn costs more: it never recovers. Now: Decisions decides on what came within 3 times the last turn's length, 10 ms at most, together (the simulator's ticks are 5 ms); fill looks at nothing where no slot is free and values each candidate once; crowded is counted once. Guards against any load under which deciding falls behind.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -100,6 +100,7 @@
     private Duration halvedAt;
     private int inFlight;
     private boolean waking;
+    private boolean crowded;
     private Duration usualAt;
     private double usual;
 
@@ -203,6 +204,7 @@
 
     /** All that came in together has been told. */
     public void turnEnded(Duration now) {
+        crowded = held.crowded(open);
         for (Query q : new ArrayList<>(open)) {
             settle(now, q);
         }
@@ -237,15 +239,15 @@
 
     /** What is only late may still come: throwing it away would feed an overload. */
     private boolean lateForGood(Duration now, Query q) {
-        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || held.crowded(open)
+        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded
                 && (q.alpha() > q.out()
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
     }
 
     /** Guards against overload of any cause: what can't begin soon is told so while its client can act. */
     private boolean noLongerBegun(Duration now, Query q) {
-        return hopeless(now, q) || now.minus(q.arrivedAt).compareTo(times(q.vertical.sloTime,
-                worthLittle(now, q) ? START_SHARE_LITTLE : START_SHARE)) > 0;
+        double waited = seconds(now.minus(q.arrivedAt)) / seconds(q.vertical.sloTime);
+        return hopeless(now, q) || waited > START_SHARE || waited > START_SHARE_LITTLE && worthLittle(now, q);
     }
 
     /** The SLO time is about to pass, and what is in is worth more now than a whole answer after it. */
@@ -311,7 +313,7 @@
         if (lastStep && in > 0 && in + ROUNDING >= q.vertical.floor) {
             host.answer(q, false);
         } else if (harmless) {
-            host.reject(q, held.comeBack(held.crowded(open)));
+            host.reject(q, held.comeBack(crowded));
         } else {
             host.abort(q);
         }
@@ -320,6 +322,7 @@
     private void end(Query q) {
         q.ended = true;
         open.remove(q);
+        crowded = held.crowded(open);
         q.parts.forEach(this::cancelAll);
     }
 
@@ -354,38 +357,39 @@
     }
 
     private void fill(Duration now) {
-        List<Query> candidates = new ArrayList<>(open.subList(0, Math.min(open.size(), CANDIDATES)));
         // A lost call holds no slot: else links that swallow calls would fill the window.
         int lost = open.stream()
                 .mapToInt(q -> q.count(part -> !part.out.isEmpty() && !counted(now, part))).sum();
+        if (inFlight - lost >= window) {
+            return;
+        }
+        PriorityQueue<Candidate> candidates = new PriorityQueue<>(ORDER);
+        for (Query q : open.subList(0, Math.min(open.size(), CANDIDATES))) {
+            candidates.add(new Candidate(q, q.alpha() - delta(now, q), worthLittle(now, q),
+                    candidates.size()));
+        }
         while (inFlight - lost < window && !candidates.isEmpty()) {
-            Query best = null;
-            int bestValue = 0;
-            for (Query q : candidates) {
-                int value = q.alpha() - delta(now, q);
-                if (best == null || value < bestValue || value == bestValue && before(now, q, best)) {
-                    best = q;
-                    bestValue = value;
-                }
-            }
-            boolean room = !best.untouched() || !worthLittle(now, best)
-                    || inFlight - lost < window * IN_USE_SHARE;
-            if (!room || !sendNext(now, best, bestValue)) {
-                candidates.remove(best);
+            Candidate best = candidates.poll();
+            Query q = best.q;
+            boolean room = !q.untouched() || !best.little || inFlight - lost < window * IN_USE_SHARE;
+            if (room && sendNext(now, q, best.value)) {
+                candidates.add(new Candidate(q, q.alpha() - delta(now, q), best.little, best.place));
             }
         }
     }
 
+    private record Candidate(Query q, int value, boolean little, int place) { }
+
     /** Among equals, what is worth little comes last, then the oldest first. */
-    private boolean before(Duration now, Query a, Query b) {
-        boolean little = worthLittle(now, a);
-        return little == worthLittle(now, b) ? a.sloAt().compareTo(b.sloAt()) < 0 : !little;
-    }
+    private static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::value)
+            .thenComparing(Candidate::little).thenComparing(c -> c.q.sloAt()).thenComparing(Candidate::place);
 
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
-        // Where the window is narrow, a spare would lengthen the wait that it is to shorten.
-        if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares() + 1 > SPARE_SHARE * (inFlight + 1))
+        // Where the window is narrow, a spare would lengthen the wait that it is to shorten. Spares in flight
+        // are parts out beyond what their queries still need.
+        if (value <= 0 && (!q.anyN() || window < WINDOW_START || 1 + open.stream()
+                .mapToInt(o -> Math.max(0, o.out() - o.alpha())).sum() > SPARE_SHARE * (inFlight + 1))
                 || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
@@ -413,11 +417,6 @@
         return bestPart != null;
     }
 
-    /** Spares in flight: parts out beyond what their queries still need. */
-    private int spares() {
-        return open.stream().mapToInt(q -> Math.max(0, q.out() - q.alpha())).sum();
-    }
-
     private void send(Duration now, Part part, DataNode node) {
         if (!part.calls.isEmpty()) {
             further.sent().add(now, 1);
--- a/src/main/java/postbeam/roster/Roster.java
+++ b/src/main/java/postbeam/roster/Roster.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,10 +17,15 @@
 
 /** The data nodes that one router was told of, by name: turns what a list says into facts for its Decide. */
 public final class Roster {
+    /** Nodes that are gone and still known: one that comes back soon finds what it was sent while cold. */
+    private static final int GONE_KEPT = 64;
+
     private final String ourZone;
     private final Map<String, DataNode> nodes = new LinkedHashMap<>();
     private final Map<String, Zone> zones = new LinkedHashMap<>();
     private final Map<DataNode, String> names = new IdentityHashMap<>();
+    /** The longest gone first. */
+    private final Set<DataNode> gone = new LinkedHashSet<>();
 
     public Roster(String ourZone) {
         this.ourZone = ourZone;
@@ -48,16 +54,30 @@
                 nodes.put(entry.name(), node);
                 names.put(node, entry.name());
             }
-            decide.nodeListed(node, entry.readiness(),
-                    entry.startedMicros() == 0 ? null : since.apply(entry.startedMicros()));
+            listed(node, entry.readiness(),
+                    entry.startedMicros() == 0 ? null : since.apply(entry.startedMicros()), decide);
         }
         if (whole) {
             for (Map.Entry<String, DataNode> known : new ArrayList<>(nodes.entrySet())) {
                 if (!seen.contains(known.getKey())) {
                     DataNode node = known.getValue();
-                    decide.nodeListed(node, Readiness.GONE, node.startedAt);
+                    listed(node, Readiness.GONE, node.startedAt, decide);
                 }
             }
         }
+        while (gone.size() > GONE_KEPT) {
+            DataNode longest = gone.iterator().next();
+            gone.remove(longest);
+            nodes.remove(names.remove(longest));
+        }
+    }
+
+    private void listed(DataNode node, Readiness readiness, Duration startedAt, Decide decide) {
+        decide.nodeListed(node, readiness, startedAt);
+        if (readiness == Readiness.GONE) {
+            gone.add(node);
+        } else {
+            gone.remove(node);
+        }
     }
 }
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -1,14 +1,16 @@
 package postbeam.router;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.TreeSet;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import postbeam.Decide;
@@ -33,8 +35,16 @@
 public final class Decisions implements Host {
     private static final System.Logger LOG = System.getLogger(Decisions.class.getName());
 
+    /** Times what deciding took, until it is done again: it then takes a quarter of the core at most. */
+    private static final int PAUSE_TIMES = 3;
+    /** Two ticks of the simulator, on which the decisions were made: longer, and what comes would wait for it. */
+    private static final Duration PAUSE_MOST = Duration.ofMillis(10);
+
     private record Timer(Duration at, long number, Runnable event) { }
 
+    /** A call that is out, and what ends it when its time is over. */
+    private record Out(Call call, Timer timer) { }
+
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition due = lock.newCondition();
     private final long startNanos = System.nanoTime();
@@ -49,10 +59,16 @@
     private final Map<DataNode, Object> probes = new IdentityHashMap<>();
     private final Map<String, OpenQuery> open = new LinkedHashMap<>();
     private final Map<Query, OpenQuery> byQuery = new IdentityHashMap<>();
-    private final Map<LeafCall, Call> out = new IdentityHashMap<>();
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparing(Timer::at).thenComparingLong(Timer::number));
+    private final Map<LeafCall, Out> out = new IdentityHashMap<>();
+    private final TreeSet<Timer> timers =
+            new TreeSet<>(Comparator.comparing(Timer::at).thenComparingLong(Timer::number));
     private long timerCount;
+    /** When the turn under way may end, and whether something waits for that. */
+    private Duration nextEnd = Duration.ZERO;
+    private boolean endDue;
+    private long ends;
+    /** What has happened since the last end was about these, the latest first: one of them if deciding fails. */
+    private final Deque<OpenQuery> fresh = new ArrayDeque<>();
     private final List<Step> errands = new ArrayList<>();
     /** What the turn under way has sent, by node, and called off. */
     private final Map<DataNode, List<Call>> sends = new LinkedHashMap<>();
@@ -150,13 +166,16 @@
     public void listed(Told told) {
         lock.lock();
         try {
-            turn(null, now(), () -> roster.listed(told.entries(), told.whole(),
-                    micros -> Duration.ofNanos((micros - startUnixMicros) * 1000), decide));
-            told.addresses().forEach((name, address) -> {
-                DataNode node = roster.node(name);
-                if (node != null) {
-                    addresses.put(node, address);
-                }
+            turn(null, now(), () -> {
+                roster.listed(told.entries(), told.whole(),
+                        micros -> Duration.ofNanos((micros - startUnixMicros) * 1000), decide);
+                // Before the turn ends: it may send to a node told of just now.
+                told.addresses().forEach((name, address) -> {
+                    if (roster.node(name) != null) {
+                        addresses.put(roster.node(name), address);
+                    }
+                });
+                addresses.keySet().removeIf(node -> roster.name(node) == null);
             });
         } finally {
             lock.unlock();
@@ -170,8 +189,8 @@
             while (true) {
                 Duration now = now();
                 List<Runnable> events = new ArrayList<>();
-                while (!timers.isEmpty() && timers.peek().at().compareTo(now) <= 0) {
-                    events.add(timers.poll().event());
+                while (!timers.isEmpty() && timers.first().at().compareTo(now) <= 0) {
+                    events.add(timers.pollFirst().event());
                 }
                 if (!events.isEmpty()) {
                     turn(null, now, () -> events.forEach(event -> tried(null, event)));
@@ -184,7 +203,7 @@
                 if (timers.isEmpty()) {
                     due.await();
                 } else {
-                    due.awaitNanos(timers.peek().at().minus(now()).toNanos());
+                    due.awaitNanos(timers.first().at().minus(now()).toNanos());
                 }
             }
         } finally {
@@ -192,32 +211,78 @@
         }
     }
 
+    /** Times that are waited for. */
+    int waits() {
+        lock.lock();
+        try {
+            return timers.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** How often it was decided. */
+    long ends() {
+        lock.lock();
+        try {
+            return ends;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     // ---- turns
 
     private Duration now() {
         return Duration.ofNanos(System.nanoTime() - startNanos);
     }
 
-    private void after(Duration at, Runnable event) {
-        timers.add(new Timer(at, timerCount++, event));
+    private Timer after(Duration at, Runnable event) {
+        Timer timer = new Timer(at, timerCount++, event);
+        timers.add(timer);
         due.signal();
+        return timer;
     }
 
-    /** One turn: what happened, and what is decided on it; then that the calls it called off have ended. */
+    /** What happened, and, once the last turn's end is long enough ago, what is decided on it. */
     private void turn(OpenQuery about, Duration now, Runnable event) {
         tried(about, event);
+        if (about != null) {
+            fresh.push(about);
+        }
+        if (now.compareTo(nextEnd) >= 0) {
+            endTurn(now);
+        } else if (!endDue) {
+            endDue = true;
+            after(nextEnd, () -> { });
+        }
+    }
+
+    /**
+     * Decides on all that happened since the last end, then that the calls called off have ended. Guards against
+     * a load under which deciding on each event by itself takes the core, so that all come too late and ever
+     * more are open: what comes within a few times the time that deciding takes is decided on together, as the
+     * simulator's ticks do. It could hurt nothing on a calm day: a turn's end then takes a fraction of a ms.
+     */
+    private void endTurn(Duration now) {
+        endDue = false;
+        ends++;
+        long begun = System.nanoTime();
         while (true) {
-            while (!tried(about, () -> decide.turnEnded(now))) {
-                about = null;
+            while (!tried(fresh.poll(), () -> decide.turnEnded(now))) {
+                // Again, without the query that was held to be at fault.
             }
             handOutSends();
             if (calledOff.isEmpty()) {
-                return;
+                break;
             }
             List<LeafCall> over = List.copyOf(calledOff);
             calledOff.clear();
             over.forEach(leaf -> tried(byQuery.get(leaf.part.query), () -> ended(now, leaf, Outcome.CANCELLED)));
         }
+        fresh.clear();
+        long pause = Math.min(PAUSE_MOST.toNanos(), PAUSE_TIMES * (System.nanoTime() - begun));
+        nextEnd = now().plusNanos(pause);
     }
 
     /**
@@ -277,17 +342,19 @@
     }
 
     private void ended(Duration now, LeafCall leaf, Outcome outcome) {
-        Call call = out.remove(leaf);
-        if (call != null) {
-            call.end();
+        Out ended = out.remove(leaf);
+        if (ended != null) {
+            // Its client may have named a time of many hours: nothing is kept for that long.
+            timers.remove(ended.timer());
+            ended.call().end();
             decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended);
         }
     }
 
     private void timedOut(LeafCall leaf) {
-        Call call = out.get(leaf);
-        if (call != null) {
-            hand(null, new Step.GiveUp(call));
+        Out late = out.get(leaf);
+        if (late != null) {
+            hand(null, new Step.GiveUp(late.call()));
             ended(now(), leaf, Outcome.TIMEOUT);
         }
     }
@@ -312,18 +379,17 @@
         }
         Call call = new Call(leaf, q.asked.id(), q.asked.text(), startNanos + until.toNanos());
         q.calls.add(call);
-        out.put(leaf, call);
         sends.computeIfAbsent(leaf.node, node -> new ArrayList<>()).add(call);
-        after(until, () -> timedOut(leaf));
+        out.put(leaf, new Out(call, after(until, () -> timedOut(leaf))));
     }
 
     @Override
     public void cancel(LeafCall leaf) {
-        Call call = out.get(leaf);
-        if (call != null) {
-            call.end();
+        Out unwanted = out.get(leaf);
+        if (unwanted != null) {
+            unwanted.call().end();
             calledOff.add(leaf);
-            hand(byQuery.get(leaf.part.query), new Step.GiveUp(call));
+            hand(byQuery.get(leaf.part.query), new Step.GiveUp(unwanted.call()));
         }
     }
 
--- a/src/test/java/postbeam/router/DecisionsTest.java
+++ b/src/test/java/postbeam/router/DecisionsTest.java
@@ -13,6 +13,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
@@ -26,6 +30,16 @@
     private static final byte[] VALUE = {'v'};
 
     private final Decisions decisions;
+    private final BlockingQueue<Step> errands = new LinkedBlockingQueue<>();
+    private final Thread ticks = new Thread(() -> {
+        try {
+            while (true) {
+                errands.addAll(decisions().tick());
+            }
+        } catch (InterruptedException e) {
+            // The test is over.
+        }
+    });
 
     DecisionsTest() throws IOException {
         decisions = new Decisions(new Info(Json.object(("{\"zone\":\"a\",\"nInstances\":1,\"domain\":{\"cells\":1,\"reach\":1},"
@@ -37,6 +51,21 @@
                 Map.of("n1", "127.0.0.1:1")));
     }
 
+    private Decisions decisions() {
+        return decisions;
+    }
+
+    @BeforeEach
+    void startTicks() {
+        ticks.start();
+    }
+
+    @AfterEach
+    void stopTicks() throws InterruptedException {
+        ticks.interrupt();
+        ticks.join();
+    }
+
     private static Asked asked(String id, String vertical, Duration patience, int parts) {
         List<Asked.AskedPart> list = new ArrayList<>();
         for (int i = 0; i < parts; i++) {
@@ -112,26 +141,14 @@
     }
 
     @Test
-    void timeAloneEndsAQueryBeforeItsClientLeaves() throws InterruptedException {
+    void timeAloneEndsAQueryBeforeItsClientLeaves() {
         long start = System.nanoTime();
         OpenQuery q = decisions.take(asked("a", "hold", Duration.ofMillis(400), 1), Duration.ZERO);
-        Thread ticks = new Thread(() -> {
-            try {
-                while (true) {
-                    decisions.tick();
-                }
-            } catch (InterruptedException e) {
-                // The test is over.
-            }
-        });
-        ticks.start();
         send(q);
         Step step = pick(q);
         while (step instanceof Step.GiveUp) {
             step = pick(q);
         }
-        ticks.interrupt();
-        ticks.join();
         assertInstanceOf(Step.Abort.class, step);
         assertTrue(System.nanoTime() - start >= 100_000_000);
     }
@@ -148,13 +165,42 @@
 
     private Step nextProbe() {
         return assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
-            while (true) {
-                for (Step step : decisions.tick()) {
-                    if (step instanceof Step.Probe) {
-                        return step;
-                    }
-                }
+            Step step = errands.take();
+            while (!(step instanceof Step.Probe)) {
+                step = errands.take();
             }
+            return step;
         });
     }
+
+    @Test
+    void aNodeIsReachedFromTheTurnOnThatToldOfIt() {
+        decisions.listed(new Told(2, true, List.of(), Map.of()));
+        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
+        decisions.listed(new Told(3, true, List.of(new Entry("n2", "a", 0, 0, Readiness.READY)),
+                Map.of("n2", "127.0.0.1:2")));
+        assertEquals("127.0.0.1:2", send(q).address());
+    }
+
+    @Test
+    void aCallThatHasEndedLeavesNothingThatWaits() throws InterruptedException {
+        OpenQuery q = decisions.take(asked("a", "hold", Duration.ofDays(1), 1), Duration.ZERO);
+        decisions.report(List.of(new Ending(send(q).calls().get(0), Outcome.MERGED, VALUE)));
+        assertInstanceOf(Step.Answer.class, pick(q));
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (decisions.waits() > 0 && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+        assertEquals(0, decisions.waits());
+    }
+
+    @Test
+    void whatComesWhileDecidingIsDearIsDecidedOnTogether() {
+        List<OpenQuery> all = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            all.add(decisions.take(asked("q" + i, "lookup", PATIENCE, 10), Duration.ZERO));
+        }
+        assertTrue(decisions.ends() < 200, decisions.ends() + " times for 200 queries");
+        send(all.get(0));
+    }
 }
