A spoilt answer ends its connection at once; sound ones by it are no broken way

Faulty lines: NodeConnection.frame (ANSWER), frames (rest of a frame kept without limit), Frames.answer (split). Now: unknown ids and probe answers, values with control characters, and frames that do not end within 400 ms close the connection; bytes where nothing is owed too. Its calls end as aborted ones that may have run. Late and second answers are known by id. What is read off of a client that is turned away is 1 MB at most.

--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -27,8 +27,10 @@
 final class ClientConnection extends StreamConnection {
     /** How long what still comes is read off: time enough to read an answer, and within what a bad client is owed. */
     private static final Duration LINGER = Duration.ofSeconds(2);
-    /** Bytes read off at once: so much that a body of many MB costs few turns of the I/O thread. */
+    /** Bytes read off at once: a whole body of the protocol's size and its head take three turns. */
     private static final int READ_OFF = 32 << 10;
+    /** Bytes read off in all: a client that sends without end at full speed must not take the core for it. */
+    private static final int READ_OFF_MOST = 1 << 20;
     /** Shared by all connections: what is in it is thrown away. */
     private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(READ_OFF);
 
@@ -37,8 +39,11 @@
     private final StreamSinkConduit output;
     private XnioExecutor.Key timer;
     private boolean ending;
+    private int readOff;
     /** Since when it waits for its next request to be there as a whole. */
     long waitsSince = System.nanoTime();
+    /** Nothing had been read of it at the last look, though its time was over. */
+    boolean lookedAt;
     /** A whole request has come on it. */
     boolean hasAsked;
     /** A whole request is in, and its answer not yet out. */
@@ -184,8 +189,13 @@
 
     /** Reads what has come and drops it: how much, or -1 at the end. */
     int readOff() throws IOException {
-        DROPPED.clear();
-        return input.read(DROPPED);
+        if (readOff > READ_OFF_MOST) {
+            input.suspendReads();
+            return 0;
+        }
+        int got = input.read(DROPPED.clear());
+        readOff += got;
+        return got;
     }
 
     // The two ways are closed by closeAction, each when its time has come.
--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -55,7 +55,7 @@
      * lets one go after 2 s, and owes a bad client its end within 3 s of connecting. Silent connections, heads that
      * never end and bodies that don't come all end by it; it could hurt a client that sends a query that slowly.
      */
-    private static final Duration WAIT_MOST = Duration.ofMillis(2300);
+    private static final Duration WAIT_MOST = Duration.ofMillis(2200);
     /** Between looks for such connections: fine beside what is left of the 3 s, coarse beside a turn. */
     private static final Duration SWEEP = Duration.ofMillis(100);
     /** Connections kept free, so that a client soon finds room while another one only stands idle. */
@@ -64,8 +64,6 @@
     private static final Duration LEFT_TO_ASK = Duration.ofMillis(200);
     /** Connections that the machine holds until they are accepted. */
     private static final int BACKLOG = 1000;
-    /** Bytes a client may send on before its answer, read off so that its leaving is still seen. */
-    private static final int SENT_ON_MOST = 64 << 10;
     /** How long a query's thread is kept for the next. */
     private static final Duration THREAD_KEPT = Duration.ofSeconds(30);
 
@@ -165,12 +163,21 @@
         }
     }
 
-    /** Cuts up to so many that have waited for so long, the longest first. */
+    /**
+     * Cuts up to so many that have waited for so long, the longest first. Each is looked at twice: a request that
+     * has come but could not be read yet, because the router itself is late, is read between the two looks.
+     */
     private void cut(int most, Duration waited, Predicate<ClientConnection> which) {
         long since = System.nanoTime() - waited.toNanos();
-        List.copyOf(connections).stream()
+        List<ClientConnection> due = connections.stream()
                 .filter(connection -> !connection.busy && connection.waitsSince - since < 0 && which.test(connection))
-                .limit(Math.max(0, most)).forEach(ClientConnection::cut);
+                .limit(Math.max(0, most)).toList();
+        for (ClientConnection connection : due) {
+            if (connection.lookedAt) {
+                connection.cut();
+            }
+            connection.lookedAt = true;
+        }
     }
 
     private static ClientConnection connection(HttpServerExchange exchange) {
@@ -182,6 +189,11 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long begun = System.nanoTime();
+        ClientConnection connection = connection(exchange);
+        connection.lookedAt = false;
+        if (connection.hasAsked) {
+            connection.waitsSince = begun;
+        }
         if (leaving) {
             exchange.setPersistent(false);
         }
@@ -289,20 +301,15 @@
         }
         // The socket itself: the channel over it ends with the request's body, and then tells no more.
         StreamSourceConduit socket = connection.getOriginalSourceConduit();
-        int[] sentOn = {0};
         connection.getChannel().getSourceChannel().setReadListener(channel -> {
             try {
                 int got = connection(exchange).readOff();
                 if (got >= 0) {
                     // What is sent on before the answer can't be kept in order: the query that was taken is
                     // answered, and the connection closed after it.
-                    sentOn[0] += got;
                     if (got > 0) {
                         exchange.setPersistent(false);
                     }
-                    if (sentOn[0] > SENT_ON_MOST) {
-                        socket.suspendReads();
-                    }
                     return;
                 }
             } catch (IOException e) {
--- a/src/main/java/postbeam/datanodes/Frames.java
+++ b/src/main/java/postbeam/datanodes/Frames.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import postbeam.router.Call;
 import postbeam.state.Outcome;
@@ -56,9 +57,10 @@
         while (end < rest.length && rest[end] != '\n') {
             end++;
         }
-        String[] words = new String(rest, 0, end, StandardCharsets.UTF_8).split(" ", -1);
-        if (end == rest.length || words.length != 4) {
-            throw new BadFrame("an answer without its line of four words");
+        // The report comes last and nothing is read from it: one that can't be read spoils no answer.
+        String[] words = new String(rest, 0, end, StandardCharsets.UTF_8).split(" ", 4);
+        if (end == rest.length || words.length != 4 || !words[2].matches("-?[0-9]+")) {
+            throw new BadFrame("an answer without its line of id, end, score and report");
         }
         Outcome outcome = switch (words[1]) {
             case "good" -> Outcome.MERGED;
@@ -66,8 +68,13 @@
             case "later" -> Outcome.FULL;
             default -> throw new BadFrame("an answer that ended in an unknown way");
         };
-        byte[] value = new byte[rest.length - end - 1];
-        System.arraycopy(rest, end + 1, value, 0, value.length);
+        byte[] value = Arrays.copyOfRange(rest, end + 1, rest.length);
+        for (byte b : value) {
+            if (b >= 0 && b < ' ') {
+                // A length that reaches into the next frame brings that frame's head along.
+                throw new BadFrame("a value that is no text");
+            }
+        }
         return new Answer(words[0], outcome, value);
     }
 
--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -10,8 +10,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -33,6 +35,11 @@
     /** Bytes read at once, and kept while nothing larger comes. */
     private static final int READ = 4096;
 
+    /** How long the rest of a frame may take: a node sends it together, and a router on part of a core may stall. */
+    private static final Duration FRAME_MOST = Duration.ofMillis(400);
+    /** Ids of ended calls that are kept: a second answer, or one that crossed its giving up, comes soon. */
+    private static final int ENDED_KEPT = 128;
+
     /** A frame that waits for its turn: leaf calls, encoded when they go, or bytes. */
     private record Waiting(List<Call> calls, ByteBuffer bytes) { }
 
@@ -54,6 +61,8 @@
     private final Duration idleMost;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private final Map<String, Out> out = new LinkedHashMap<>();
+    /** The latest calls that ended on it, by id. */
+    private final Set<String> ended = new LinkedHashSet<>();
     private final Deque<String> probes = new ArrayDeque<>();
     private StreamConnection channel;
     private XnioExecutor.Key connectTimer;
@@ -64,6 +73,8 @@
     private int callsWaiting;
     private long usedAt = System.nanoTime();
     private long heardAt = usedAt;
+    /** Since when a frame has begun to come; 0 while none has. */
+    private long frameSince;
     private boolean doubtful;
     private boolean closed;
 
@@ -137,8 +148,7 @@
         if (given == null || given.call != call) {
             return;
         }
-        out.remove(call.id);
-        owner.over(call);
+        over(call);
         // Guards against a connection that leads nowhere any more, which nothing tells: the machine vanished
         // or was cut off. Further calls go on a new one, which comes up or fails in time.
         doubtful |= heardAt < given.since && past(given.since);
@@ -228,8 +238,12 @@
     // ---- reading
 
     private void read(ConduitStreamSourceChannel source) {
+        if (closed) {
+            return;
+        }
         List<Ending> endings = new ArrayList<>();
         String broken = null;
+        boolean spoilt = false;
         try {
             int got;
             while ((got = source.read(in)) > 0) {
@@ -238,8 +252,10 @@
                 frames(endings);
             }
             broken = got < 0 ? "closed by the node" : null;
+            watchFrame();
         } catch (Frames.BadFrame e) {
             broken = e.getMessage();
+            spoilt = true;
         } catch (IOException | RuntimeException e) {
             broken = "read failed: " + e;
         }
@@ -247,12 +263,30 @@
             decisions.report(endings);
         }
         if (broken != null) {
-            close(broken);
+            close(broken, spoilt);
         } else {
             closeIfDone();
         }
     }
 
+    /**
+     * Guards against lengths that do not fit, noise and values that never end: part of a frame where nothing is
+     * owed, or for too long, leads nowhere any more. It could hurt where a good frame's bytes stall for so long.
+     */
+    private void watchFrame() throws Frames.BadFrame {
+        if (in.position() == 0) {
+            frameSince = 0;
+        } else if (out.isEmpty() && probes.isEmpty()) {
+            throw new Frames.BadFrame("bytes that belong to nothing");
+        } else if (frameSince == 0) {
+            frameSince = heardAt;
+            channel.getIoThread().executeAfter(() -> read(channel.getSourceChannel()), FRAME_MOST.toMillis() + 1,
+                    TimeUnit.MILLISECONDS);
+        } else if (System.nanoTime() - frameSince > FRAME_MOST.toNanos()) {
+            throw new Frames.BadFrame("a frame that does not end");
+        }
+    }
+
     /** Takes the whole frames out of what was read, and makes room for the rest. */
     private void frames(List<Ending> endings) throws Frames.BadFrame {
         in.flip();
@@ -266,13 +300,14 @@
                 needs = Frames.HEAD + length;
                 break;
             }
+            frameSince = 0;
             in.getInt();
             char letter = (char) in.get();
             byte[] rest = new byte[length - 1];
             in.get(rest);
             frame(letter, rest, endings);
         }
-        if (needs > in.capacity()) {
+        if (needs > in.capacity() || needs == READ && in.capacity() > READ) {
             in = ByteBuffer.allocate(needs).order(ByteOrder.LITTLE_ENDIAN).put(in);
         } else {
             in.compact();
@@ -283,17 +318,20 @@
         switch (letter) {
             case Frames.ANSWER -> {
                 Frames.Answer answer = Frames.answer(rest);
-                Out ended = out.remove(answer.id());
-                if (ended != null) {
-                    owner.over(ended.call);
-                    endings.add(new Ending(ended.call, answer.outcome(), answer.value()));
+                Out answered = out.get(answer.id());
+                if (answered != null) {
+                    over(answered.call);
+                    endings.add(new Ending(answered.call, answer.outcome(), answer.value()));
+                } else if (!ended.contains(answer.id())) {
+                    throw new Frames.BadFrame("an answer to nothing that was sent on it");
                 }
             }
             case Frames.PROBE, Frames.LOAD_PROBE -> {
                 String node = probes.poll();
-                if (node != null) {
-                    decisions.probed(node, !"bad".equals(new String(rest, StandardCharsets.UTF_8)));
+                if (node == null) {
+                    throw new Frames.BadFrame("an answer to no probe");
                 }
+                decisions.probed(node, !"bad".equals(new String(rest, StandardCharsets.UTF_8)));
             }
             case Frames.UNUSABLE -> throw new Frames.BadFrame("the node could not use a frame: "
                     + new String(rest, StandardCharsets.UTF_8));
@@ -301,10 +339,27 @@
         }
     }
 
+    /** A call has ended on it; late or second answers to it are known from now on. */
+    private void over(Call call) {
+        out.remove(call.id);
+        owner.over(call);
+        ended.add(call.id);
+        if (ended.size() > ENDED_KEPT) {
+            ended.remove(ended.iterator().next());
+        }
+    }
+
     // ---- the end
 
-    /** Gives everything back: the socket, the timer, and each call that is out or waits, once. */
     private void close(String why) {
+        close(why, false);
+    }
+
+    /**
+     * Gives everything back: the socket, the timer, and each call that is out or waits, once. Where the node spoilt
+     * the connection it is alive and answers: the calls on it are aborted ones that may have run, no broken way.
+     */
+    private void close(String why, boolean spoilt) {
         if (closed) {
             return;
         }
@@ -317,7 +372,8 @@
         List<Ending> endings = new ArrayList<>();
         for (Out call : out.values()) {
             owner.over(call.call);
-            endings.add(new Ending(call.call, call.written ? Outcome.RESET : Outcome.UNREACHABLE));
+            endings.add(new Ending(call.call, !call.written ? Outcome.UNREACHABLE
+                    : spoilt ? Outcome.ERROR : Outcome.RESET));
         }
         for (Waiting frame : waiting) {
             if (frame.calls() != null) {
