SIGHUP reads the configuration again and moves the watch of discovery

Watch was bound to one address for life. Now the file is read and checked as at the start; what is wrong is told with its key and all stays; where discovery moved, a new watch asks for the whole list at once, the old one is broken off and nothing it still tells is heard. Other keys that changed are named as waiting for a restart. The test found that a keep-alive that is no number passed the check.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -10,9 +10,12 @@
 import postbeam.router.Logs;
 import postbeam.router.Router;
 import postbeam.setup.Startup;
+import sun.misc.Signal;
 
 /** Command line entry: each way of running postbeam is a sub-command. */
 public final class Main {
+    private static final System.Logger LOG = System.getLogger(Main.class.getName());
+
     @Parameter(names = {"-h", "--help"}, help = true, description = "Show this help")
     private boolean help;
 
@@ -63,6 +66,19 @@
         return text.toString();
     }
 
+    /** What is wrong in the file is told, and all stays as it was. */
+    private static void reload(Router router, String config) {
+        try {
+            router.reload(Startup.read(config));
+        } catch (IOException | RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "configuration {0}: {1}; what is held stays", config, firstLine(e));
+        }
+    }
+
+    private static String firstLine(Exception e) {
+        return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+    }
+
     private static int serve(String config) throws InterruptedException {
         Logs.bound();
         Router router;
@@ -70,9 +86,11 @@
             router = new Router(Startup.read(config));
         } catch (IOException | IllegalArgumentException e) {
             System.err.println("postbeam: configuration " + config + ": "
-                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+                    + firstLine(e));
             return 1;
         }
+        // By default this signal ends a virtual machine.
+        Signal.handle(new Signal("HUP"), signal -> reload(router, config));
         try {
             router.start();
         } catch (IOException e) {
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -26,6 +26,7 @@
     private final int cells;
     private final Consumer<Told> told;
     private volatile boolean stopped;
+    private volatile HttpURLConnection call;
     private boolean failing;
 
     public Watch(String address, int cells, Consumer<Told> told) {
@@ -41,15 +42,24 @@
             try {
                 Told next = version < 0 ? ask("", SLACK)
                         : ask("?index=" + version + "&wait=" + WAIT.toMillis(), WAIT.plus(SLACK));
-                told.accept(next);
+                synchronized (this) {
+                    if (stopped) {
+                        return;
+                    }
+                    told.accept(next);
+                }
                 version = next.version();
                 if (failing) {
                     LOG.log(System.Logger.Level.INFO, "discovery answers again, list version {0}", version);
                 }
                 failing = false;
             } catch (IOException | RuntimeException | Error e) {
+                if (stopped) {
+                    return;
+                }
                 if (!failing) {
-                    LOG.log(System.Logger.Level.WARNING, "discovery: {0}; the held list stays", e.toString());
+                    LOG.log(System.Logger.Level.WARNING, "discovery at {0}: {1}; the held list stays", address,
+                            e.toString());
                 }
                 failing = true;
                 // The whole list again: what a half answer would have told is not lost.
@@ -68,7 +78,7 @@
     }
 
     private Told ask(String query, Duration within) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + address + "/v1/servers" + query).toURL()
+        call = (HttpURLConnection) URI.create("http://" + address + "/v1/servers" + query).toURL()
                 .openConnection(Proxy.NO_PROXY);
         call.setConnectTimeout((int) SLACK.toMillis());
         call.setReadTimeout((int) within.toMillis());
@@ -87,7 +97,14 @@
         }
     }
 
+    /** Once it returns nothing more is told; a call that waits is broken off. */
     public void stop() {
-        stopped = true;
+        synchronized (this) {
+            stopped = true;
+        }
+        HttpURLConnection waiting = call;
+        if (waiting != null) {
+            waiting.disconnect();
+        }
     }
 }
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -23,39 +26,42 @@
     private static final System.Logger LOG = System.getLogger(Router.class.getName());
     /** Descriptors for the program itself: jars, standard streams, selectors, discovery. */
     private static final int OWN_DESCRIPTORS = 64;
+    private static final int LEAST_DESCRIPTORS = 2 * OWN_DESCRIPTORS;
+    /** MB: the virtual machine itself takes most of it. */
+    private static final int LEAST_MB = 64;
     /** Client connections for each MB of memory, of which each may have a thread. */
     private static final int CLIENTS_A_MB = 2;
+    /** Keys named in one line of the log. */
+    private static final int MOST_NAMED = 10;
     /** How long clients go on connecting after a stop was asked, at most 0.4 s as their page has it. */
     private static final Duration STILL_COMING = Duration.ofMillis(600);
 
     private final Decisions decisions;
     private final DataNodes dataNodes;
     private final ClientDoor clients;
-    private final Watch watch;
+    private final int cells;
+    private Startup held;
+    private Watch watch;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
     private volatile boolean ready;
 
     public Router(Startup startup) throws IOException {
+        check(startup);
         Info settings = startup.settings;
         String listen = startup.address("listen");
         String discovery = startup.address("discovery");
         Duration connectWithin = settings.span("caps.connectTimeout");
         Duration idleMost = settings.span("caps.keepalive");
-        settings.needed("caps.connectTimeout");
-        settings.needed("caps.keepalive");
-        int descriptors = startup.limit("sockets", 2 * OWN_DESCRIPTORS) - OWN_DESCRIPTORS;
-        int clientsMost = Math.min(descriptors / 2, CLIENTS_A_MB * startup.limit("memory_mb", 64));
+        int descriptors = startup.limit("sockets", LEAST_DESCRIPTORS) - OWN_DESCRIPTORS;
+        int clientsMost = Math.min(descriptors / 2, CLIENTS_A_MB * startup.limit("memory_mb", LEAST_MB));
         Map<String, Duration> usualWaits = new LinkedHashMap<>();
         for (int i = 0; i < settings.count("classes"); i++) {
             usualWaits.put(settings.needed("classes." + i + ".name"), settings.span("classes." + i + ".deadline"));
-            if (settings.listed("domain.followUp", i) != null && settings.listed("domain.followUp", i) > 0) {
-                throw settings.bad("domain.followUp", "asks for a second step, which has no form on sockets");
-            }
         }
         decisions = new Decisions(settings, startup.seed(), settings.atLeast("domain.partsACall", 1), connectWithin);
-        int cells = settings.atLeast("domain.cells", 1);
+        cells = settings.atLeast("domain.cells", 1);
         if (startup.known() != null) {
             listed(ListForm.read(startup.known(), cells));
         }
@@ -66,11 +72,41 @@
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1), clientsMost);
+        held = startup;
         watch = new Watch(discovery, cells, this::listed);
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
     }
 
+    /** Whether a router could start with it; an IOException or IllegalArgumentException names what is wrong. */
+    private static void check(Startup startup) throws IOException {
+        Info settings = startup.settings;
+        startup.address("listen");
+        startup.address("discovery");
+        startup.seed();
+        startup.limit("sockets", LEAST_DESCRIPTORS);
+        startup.limit("memory_mb", LEAST_MB);
+        for (String span : new String[] {"caps.connectTimeout", "caps.keepalive"}) {
+            settings.needed(span);
+            settings.span(span);
+        }
+        settings.atLeast("caps.maxStreams", 1);
+        settings.atLeast("domain.partsACall", 1);
+        settings.atLeast("domain.shards", 1);
+        for (int i = 0; i < settings.count("classes"); i++) {
+            settings.span("classes." + i + ".deadline");
+            if (settings.listed("domain.followUp", i) != null && settings.listed("domain.followUp", i) > 0) {
+                throw settings.bad("domain.followUp", "asks for a second step, which has no form on sockets");
+            }
+        }
+        Assembly.verticals(settings);
+        Assembly.customers(settings);
+        Assembly.decide(null, new Random(), Assembly.fleet(settings), settings);
+        if (startup.known() != null) {
+            ListForm.read(startup.known(), settings.atLeast("domain.cells", 1));
+        }
+    }
+
     private void listed(Told told) {
         decisions.listed(told);
         ready |= !told.entries().isEmpty();
@@ -79,11 +115,41 @@
     /** Starts to serve; an IOException says why it can't listen. */
     public void start() throws IOException {
         thread("ticks", this::ticks);
-        thread("discovery", watch);
+        synchronized (this) {
+            thread("discovery", watch);
+        }
         clients.start();
         LOG.log(System.Logger.Level.INFO, started);
     }
 
+    /**
+     * Takes over what a configuration read again has that can change while it runs: where discovery is. The new
+     * one is asked at once, so that nothing stands between what it tells and the time it counts as told; the
+     * list held stays until it answers. An IOException or IllegalArgumentException says what can't be used; then
+     * all stays as it was.
+     */
+    public synchronized void reload(Startup startup) throws IOException {
+        check(startup);
+        String discovery = startup.address("discovery");
+        List<String> fixed = new ArrayList<>(held.info.changed(startup.info));
+        fixed.removeIf(path -> path.equals("discovery") || path.equals("seed") || path.startsWith("known")
+                || path.startsWith("settings."));
+        fixed.addAll(held.settings.changed(startup.settings));
+        if (!fixed.isEmpty()) {
+            LOG.log(System.Logger.Level.WARNING, "configuration: these wait for a restart: {0}",
+                    fixed.subList(0, Math.min(fixed.size(), MOST_NAMED)));
+        }
+        boolean moved = !discovery.equals(held.address("discovery"));
+        if (moved && stopped.getCount() > 0) {
+            watch.stop();
+            watch = new Watch(discovery, cells, this::listed);
+            thread("discovery", watch);
+        }
+        held = startup;
+        LOG.log(System.Logger.Level.INFO, "configuration read again; discovery {0} {1}",
+                moved ? "is now at" : "stays at", discovery);
+    }
+
     /** Waits until it is stopped. */
     public void await() throws InterruptedException {
         stopped.await();
@@ -165,7 +231,9 @@
                 }
             });
         }
-        watch.stop();
+        synchronized (this) {
+            watch.stop();
+        }
         clients.stop();
         worker.shutdownNow();
     }
--- a/src/main/java/postbeam/setup/Info.java
+++ b/src/main/java/postbeam/setup/Info.java
@@ -4,6 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /** What an instance is told at its start, as path=value pairs; what is absent is null. */
@@ -46,6 +49,14 @@
         }
     }
 
+    /** The paths that stand otherwise in the other, in order, as messages name them. */
+    public List<String> changed(Info other) {
+        Set<String> paths = new TreeSet<>(values.keySet());
+        paths.addAll(other.values.keySet());
+        return paths.stream().filter(path -> !Objects.equals(values.get(path), other.values.get(path)))
+                .map(path -> prefix + path).toList();
+    }
+
     public String text(String path) {
         String value = values.get(path);
         return value == null || value.isEmpty() || value.equals("-") ? null : value;
--- a/src/test/java/postbeam/RouterIT.java
+++ b/src/test/java/postbeam/RouterIT.java
@@ -87,7 +87,7 @@
         final ServerSocket server;
         final BlockingQueue<String> frames = new LinkedBlockingQueue<>();
         final List<Socket> sockets = new CopyOnWriteArrayList<>();
-        /** good, bad, later, silent, twice, stray, reset, garbage, unusable, oversized. */
+        /** good, bad, later, silent, twice, noisy, stray, endless, reset, garbage, unusable, oversized. */
         volatile String mode = "good";
 
         Node() throws IOException {
@@ -133,9 +133,12 @@
                 case "garbage" -> send(socket, "x?");
                 case "unusable" -> send(socket, "rno such shard");
                 case "oversized" -> socket.getOutputStream().write(new byte[] {0, 0, 0, 127});
-                case "stray" -> {
-                    send(socket, "qnobody.1 good 0 -\nx");
-                    send(socket, "q" + id + " good 0 -\n\"v" + id + "\"");
+                case "stray" -> send(socket, "qnobody.1 good 0 -\nx");
+                case "endless" -> socket.getOutputStream().write(("\377\0\0\0q" + id + " good 0 -\n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+                case "noisy" -> {
+                    send(socket, "q" + id + " good 0 \7 ?\nv" + id);
+                    socket.getOutputStream().write(new byte[] {9, 0, 0});
                 }
                 case "twice" -> {
                     send(socket, "q" + id + " good 0 -\nfirst");
@@ -383,11 +386,10 @@
             assertEquals("200 {\"total\":true,\"answers\":[{\"range\":0,\"blob\":\"vq1.0\"},{\"range\":3,\"blob\":\"vq1.3\"}]}",
                     answer(client));
             assertEquals("m q1.0 0 c41e77d0", frame("m q1.0"));
-            node.mode = "stray";
             write(client, "POST /lookup HTTP/1.1\r\nHost: backend.local\r\nReq-Id: q2\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 3000\r\n"
                     + "Transfer-Encoding: chunked\r\n\r\n10\r\n{\"ranges\":[{\"ran\r\n25\r\n"
                     + "ge\":1,\"portion\":1}],\"predicate\":\"ab\"}\r\n0\r\n\r\n");
-            assertEquals("200 {\"total\":true,\"answers\":[{\"range\":1,\"blob\":\"\\\"vq2.1\\\"\"}]}", answer(client));
+            assertEquals("200 {\"total\":true,\"answers\":[{\"range\":1,\"blob\":\"vq2.1\"}]}", answer(client));
             node.mode = "twice";
             write(client, query("lookup", "q3", 3000, 2));
             assertTrue(answer(client).contains("first"));
@@ -412,14 +414,45 @@
     @Test
     void whatMayHaveRunAndCantRunAgainIsAborted() throws Exception {
         serving();
-        for (String mode : new String[] {"bad", "reset", "garbage", "oversized", "unusable"}) {
+        for (String mode : new String[] {"bad", "reset", "garbage", "oversized", "unusable", "stray", "endless"}) {
             node.mode = mode;
-            assertEquals("504", status(query("hold", "q-" + mode, 3000, 0)).substring(0, 3), mode);
+            long start = System.nanoTime();
+            assertEquals("504", status(query("hold", "q-" + mode, 20_000, 0)).substring(0, 3), mode);
+            assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(5), mode);
         }
         node.mode = "good";
         until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200"));
     }
 
+    /** A spoilt answer ends the calls that share its connection, once each, and nothing more is sent on it. */
+    @Test
+    void aSpoiltAnswerEndsAllThatSharesItsConnection() throws Exception {
+        serving();
+        node.mode = "silent";
+        try (Socket other = connect(); Socket client = connect()) {
+            write(other, query("hold", "q1", 20_000, 0));
+            frame("m q1.0");
+            write(client, query("lookup", "q2", 20_000, 1));
+            frame("m q2.1");
+            node.mode = "good";
+            node.send(node.sockets.get(0), "qq2.1 fine 0 -\nx");
+            assertEquals("504", answer(other).substring(0, 3));
+            assertEquals("200 {\"total\":true,\"answers\":[{\"range\":1,\"blob\":\"vq2.1\"}]}", answer(client));
+        }
+        assertEquals(2, node.sockets.size());
+    }
+
+    @Test
+    void aGoodAnswerWithMoreThanBelongsToItIsGood() throws Exception {
+        serving();
+        node.mode = "noisy";
+        for (int i = 0; i < 5; i++) {
+            assertTrue(status(query("hold", "q" + i, 3000, 0)).contains("vq" + i + ".0"));
+            // The noise may come after the next call has gone out; nobody could tell then.
+            Thread.sleep(50);
+        }
+    }
+
     @Test
     void whatNeverRanIsRejected() throws Exception {
         serving();
@@ -491,6 +524,57 @@
         until(() -> status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("503"));
     }
 
+    // ---- reload
+
+    private void reload(String config) throws Exception {
+        Files.writeString(dir.resolve("config.json"), config);
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor());
+    }
+
+    private void logged(String text) throws Exception {
+        until(() -> log.stream().anyMatch(line -> line.contains(text)));
+    }
+
+    @Test
+    void sighupReadsTheConfigurationAgainAndDiscoveryMoves() throws Exception {
+        serving();
+        String config = Files.readString(dir.resolve("config.json"));
+        Node second = new Node();
+        Discovery next = new Discovery(second.entry("n2", "up"));
+        String moved = config.replace("127.0.0.1:" + discovery.server.getLocalPort(),
+                "127.0.0.1:" + next.server.getLocalPort());
+        node.mode = "silent";
+        try (Socket open = connect()) {
+            write(open, query("hold", "q1", 20_000, 0));
+            frame("m q1.0");
+            for (String broken : new String[] {config.replace("\"cells\":1", "\"cells\":0"), "{", "",
+                moved.replace("\"keepalive\":15000000", "\"keepalive\":\"x\"")}) {
+                reload(broken);
+                logged("what is held stays");
+                log.clear();
+            }
+            reload(config.replace("\"nInstances\":1", "\"nInstances\":2"));
+            logged("wait for a restart: [settings.nInstances]");
+            long start = System.nanoTime();
+            reload(moved);
+            until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200")
+                    && !second.frames.isEmpty());
+            assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(3));
+            // What the old one tells from now on is not heard.
+            discovery.tell("");
+            for (int i = 0; i < 20; i++) {
+                reload(moved);
+                assertEquals("200", status(query("lookup", "r" + i, 3000, 0)).substring(0, 3));
+            }
+            node.send(node.sockets.get(0), "qq1.0 good 0 -\nx");
+            assertEquals("200", answer(open).substring(0, 3));
+            reload(config);
+            program.destroy();
+        }
+        assertTrue(program.waitFor(LONG, TimeUnit.SECONDS));
+        assertEquals(0, program.exitValue());
+    }
+
     // ---- bad input
 
     @Test
