Start from recorded classes and rehearsed decisions; a stopping router serves on

Measured on one core: ready after 1.07 s of CPU, the first query 113 ms, the first 60 cost 0.41 s. Ruled out: bytecode checks left out (no gain once recorded), the collector, memory (60 of 144 MB). What it could hurt: a restart is away half a second of CPU longer than with recorded classes alone.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -5,6 +5,10 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.Proxy;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
 import postbeam.router.Logs;
@@ -16,6 +20,9 @@
 public final class Main {
     private static final System.Logger LOG = System.getLogger(Main.class.getName());
 
+    /** Queries of a rehearsal: as many as it takes until nothing new is loaded. */
+    private static final int REHEARSED = 5;
+
     @Parameter(names = {"-h", "--help"}, help = true, description = "Show this help")
     private boolean help;
 
@@ -27,6 +34,13 @@
         private String config = System.getenv("BALANCER_CONFIG");
     }
 
+    @Parameters(commandDescription = "Start on a free loopback port, answer a few queries and end; the build records "
+            + "which classes that takes, so that serve need not read them one by one")
+    private static final class Rehearse {
+        @Parameter(names = "--config", description = "File of JSON")
+        private String config = "deploy/rehearsal.json";
+    }
+
     @Parameters(commandDescription = "Decide for the simulator's wire on standard input and output")
     private static final class Benchlink { }
 
@@ -36,8 +50,9 @@
     public static void main(String[] args) throws InterruptedException {
         Main main = new Main();
         Serve serve = new Serve();
+        Rehearse rehearse = new Rehearse();
         JCommander line = JCommander.newBuilder().programName("postbeam").addObject(main)
-                .addCommand("serve", serve).addCommand("benchlink", new Benchlink())
+                .addCommand("serve", serve).addCommand("benchlink", new Benchlink()).addCommand("rehearse", rehearse)
                 .addCommand("version", new Version()).build();
         try {
             line.parse(args);
@@ -55,6 +70,7 @@
             System.exit(switch (line.getParsedCommand()) {
                 case "serve" -> serve(serve.config);
                 case "benchlink" -> benchlink();
+                case "rehearse" -> rehearse(rehearse.config);
                 default -> version();
             });
         }
@@ -111,6 +127,34 @@
         return 0;
     }
 
+    private static int rehearse(String config) throws InterruptedException {
+        Logs.bound();
+        Signal.handle(new Signal("HUP"), signal -> { });
+        try {
+            Router router = new Router(Startup.read(config));
+            router.start();
+            for (int i = 0; i < REHEARSED; i++) {
+                HttpURLConnection call = (HttpURLConnection) URI.create("http://" + router.address() + "/search?obj=1")
+                        .toURL().openConnection(Proxy.NO_PROXY);
+                call.setDoOutput(true);
+                call.setRequestProperty("Req-Id", "rehearsal" + i);
+                call.setRequestProperty("Req-Owner", "acme");
+                call.getOutputStream().write("{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}"
+                        .getBytes(StandardCharsets.UTF_8));
+                // No data node is there: the honest answer.
+                if (call.getResponseCode() != HttpURLConnection.HTTP_UNAVAILABLE) {
+                    throw new IOException("answered with " + call.getResponseCode());
+                }
+                call.disconnect();
+            }
+            router.stop();
+            return 0;
+        } catch (IOException | RuntimeException e) {
+            System.err.println("postbeam: rehearsal: " + firstLine(e));
+            return 1;
+        }
+    }
+
     private static int benchlink() {
         try {
             new Door(System.in, System.out).run();
--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -94,6 +94,8 @@
     /** On the I/O thread alone: all that are open, those that have waited longest first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile boolean leaving;
+    private volatile long leaveAt;
+    private volatile boolean closing;
 
     /** The usual wait of a vertical is null where the settings state none. */
     public ClientDoor(XnioWorker worker, InetSocketAddress listen, Queries queries, Map<String, Duration> usualWaits,
@@ -128,6 +130,12 @@
         io.executeAfter(this::sweep, SWEEP.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** HOST:PORT that it listens on. */
+    public String address() {
+        InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
+        return at.getAddress().getHostAddress() + ":" + at.getPort();
+    }
+
     // ---- connections
 
     private void accept(AcceptingChannel<StreamConnection> from) {
@@ -194,7 +202,7 @@
         if (connection.hasAsked) {
             connection.waitsSince = begun;
         }
-        if (leaving) {
+        if (closing) {
             exchange.setPersistent(false);
         }
         String path = exchange.getRequestPath();
@@ -278,6 +286,10 @@
             say(exchange, 400, e.getMessage().lines().findFirst().orElse(""));
             return;
         }
+        if (leaving) {
+            // What is still open when the program is ended would be lost.
+            asked = asked.within(Duration.ofNanos(Math.max(0, leaveAt - begun)));
+        }
         OpenQuery q = queries.take(asked, Duration.ofNanos(System.nanoTime() - begun));
         if (q == null) {
             say(exchange, 400, "a query of this Req-Id is open");
@@ -343,7 +355,7 @@
             exchange.endExchange();
             return;
         }
-        if (leaving) {
+        if (closing) {
             exchange.setPersistent(false);
         }
         if (last instanceof Step.Answer answer) {
@@ -378,11 +390,17 @@
 
     // ---- the way out
 
-    /** From now on each connection is closed after its answer. */
-    public void leave() {
+    /** From now on no query is to be open longer than until so long from now. */
+    public void leave(Duration end) {
+        leaveAt = System.nanoTime() + end.toNanos();
         leaving = true;
     }
 
+    /** Whether no client is connected; to be asked on the I/O thread. */
+    public boolean unused() {
+        return connections.isEmpty();
+    }
+
     /** Whether all requests are answered to their last byte; to be asked on the I/O thread. */
     public boolean idle() {
         return connections.stream().noneMatch(connection -> connection.busy);
@@ -390,6 +408,7 @@
 
     /** Takes no new connection, and closes those that are between requests. */
     public void close() {
+        closing = true;
         IoUtils.safeClose(server);
         io.execute(() -> List.copyOf(connections).stream().filter(connection -> !connection.busy)
                 .forEach(IoUtils::safeClose));
--- a/src/main/java/postbeam/router/Asked.java
+++ b/src/main/java/postbeam/router/Asked.java
@@ -7,4 +7,9 @@
 public record Asked(String id, String vertical, String owner, Duration patience, List<AskedPart> parts, byte[] text) {
     /** One shard's part: its share of the answer and, where a guess came, its work. */
     public record AskedPart(int shard, double weight, Duration work) { }
+
+    /** The same, with a client of no more patience than this. */
+    public Asked within(Duration most) {
+        return patience.compareTo(most) <= 0 ? this : new Asked(id, vertical, owner, most, parts, text);
+    }
 }
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -46,7 +46,7 @@
     private record Out(Call call, Timer timer) { }
 
     private final ReentrantLock lock = new ReentrantLock();
-    private final Condition due = lock.newCondition();
+    private final Condition timely = lock.newCondition();
     private final long startNanos = System.nanoTime();
     private final long startUnixMicros = System.currentTimeMillis() * 1000;
     private final Map<String, Vertical> verticals;
@@ -123,6 +123,16 @@
         }
     }
 
+    /** The same without waiting: null where there is none yet. */
+    Step next(OpenQuery q) {
+        lock.lock();
+        try {
+            return q.steps.poll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Its client no longer waits. */
     public void left(OpenQuery q) {
         lock.lock();
@@ -187,23 +197,16 @@
         lock.lockInterruptibly();
         try {
             while (true) {
-                Duration now = now();
-                List<Runnable> events = new ArrayList<>();
-                while (!timers.isEmpty() && timers.first().at().compareTo(now) <= 0) {
-                    events.add(timers.pollFirst().event());
-                }
-                if (!events.isEmpty()) {
-                    turn(null, now, () -> events.forEach(event -> tried(null, event)));
-                }
+                due();
                 if (!errands.isEmpty()) {
                     List<Step> todo = List.copyOf(errands);
                     errands.clear();
                     return todo;
                 }
                 if (timers.isEmpty()) {
-                    due.await();
+                    timely.await();
                 } else {
-                    due.awaitNanos(timers.first().at().minus(now()).toNanos());
+                    timely.awaitNanos(timers.first().at().minus(now()).toNanos());
                 }
             }
         } finally {
@@ -211,6 +214,23 @@
         }
     }
 
+    /** Does what time has brought. */
+    void due() {
+        lock.lock();
+        try {
+            Duration now = now();
+            List<Runnable> events = new ArrayList<>();
+            while (!timers.isEmpty() && timers.first().at().compareTo(now) <= 0) {
+                events.add(timers.pollFirst().event());
+            }
+            if (!events.isEmpty()) {
+                turn(null, now, () -> events.forEach(event -> tried(null, event)));
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Times that are waited for. */
     int waits() {
         lock.lock();
@@ -240,7 +260,7 @@
     private Timer after(Duration at, Runnable event) {
         Timer timer = new Timer(at, timerCount++, event);
         timers.add(timer);
-        due.signal();
+        timely.signal();
         return timer;
     }
 
@@ -326,7 +346,7 @@
     private void hand(OpenQuery q, Step step) {
         if (q == null) {
             errands.add(step);
-            due.signal();
+            timely.signal();
         } else {
             q.add(step);
         }
--- /dev/null
+++ b/src/main/java/postbeam/router/Rehearsal.java
@@ -0,0 +1,97 @@
+package postbeam.router;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import postbeam.roster.Entry;
+import postbeam.roster.Told;
+import postbeam.state.Outcome;
+import postbeam.state.Readiness;
+
+/**
+ * Queries of no client, decided on and answered before the first client comes: a virtual machine that has compiled
+ * nothing yet takes many times as long for each, and on part of a core the first seconds of clients then pile up.
+ * Nothing of it reaches a socket, and its decisions are thrown away with what they learnt.
+ */
+final class Rehearsal {
+    /** How long it may take: each second of it is one that a restarted router is away for. */
+    private static final Duration MOST = Duration.ofMillis(1500);
+    /** Queries after which all that queries pass through has been compiled. */
+    private static final int QUERIES = 1500;
+    /** Queries open at once, so that they compete for slots. */
+    private static final int OPEN = 24;
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private static final byte[] VALUE = "0123456789abcdef".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+
+    private final Decisions decisions;
+    private final List<String> verticals;
+    private final String owner;
+    private final int shards;
+    private final Deque<OpenQuery> open = new ArrayDeque<>();
+    private int calls;
+
+    Rehearsal(Decisions decisions, String zone, int cells, List<String> verticals, String owner, int shards) {
+        this.decisions = decisions;
+        this.verticals = verticals;
+        this.owner = owner;
+        this.shards = shards;
+        List<Entry> nodes = new ArrayList<>();
+        Map<String, String> addresses = new LinkedHashMap<>();
+        for (int cell = 0; cell < cells; cell++) {
+            nodes.add(new Entry("n" + cell, zone, cell, 0, Readiness.READY));
+            addresses.put("n" + cell, "127.0.0.1:1");
+        }
+        decisions.listed(new Told(1, true, nodes, addresses));
+    }
+
+    /** How many queries were answered. */
+    int run() {
+        long end = System.nanoTime() + MOST.toNanos();
+        int done = 0;
+        for (int i = 0; i < QUERIES && System.nanoTime() < end; i++) {
+            List<Asked.AskedPart> parts = new ArrayList<>();
+            int count = Math.min(shards, 1 + i % 8);
+            for (int part = 0; part < count; part++) {
+                parts.add(new Asked.AskedPart((i + part) % shards, 1.0 / count, null));
+            }
+            OpenQuery q = decisions.take(new Asked("r" + i, verticals.get(i % verticals.size()), owner, PATIENCE, parts,
+                    VALUE), Duration.ZERO);
+            if (q != null) {
+                open.add(q);
+            }
+            while (open.size() > OPEN) {
+                done += step(open.poll());
+            }
+        }
+        while (!open.isEmpty() && System.nanoTime() < end) {
+            done += step(open.poll());
+        }
+        return done;
+    }
+
+    /** Does what the query is given to do; 1 once that was its answer. */
+    private int step(OpenQuery q) {
+        decisions.due();
+        Step step;
+        while ((step = decisions.next(q)) != null) {
+            if (step instanceof Step.Send send) {
+                decisions.report(send.calls().stream().map(this::ending).toList());
+            } else if (!(step instanceof Step.GiveUp)) {
+                return 1;
+            }
+        }
+        open.add(q);
+        return 0;
+    }
+
+    /** Mostly merged, now and then not, so that the ways back are known too. */
+    private Ending ending(Call call) {
+        calls++;
+        Outcome outcome = calls % 41 == 0 ? Outcome.RESET : calls % 37 == 0 ? Outcome.FULL : Outcome.MERGED;
+        return new Ending(call, outcome, VALUE);
+    }
+}
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -6,8 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import java.util.function.BooleanSupplier;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -35,16 +40,23 @@
     private static final int MOST_NAMED = 10;
     /** How long clients go on connecting after a stop was asked, at most 0.4 s as their page has it. */
     private static final Duration STILL_COMING = Duration.ofMillis(600);
+    /** The least that a stopping router serves on: its page lets it live 0.7 s longer than this, or than a deadline. */
+    private static final Duration SERVES_ON = Duration.ofSeconds(3);
+    /** Before its end the last queries are answered or given up. */
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(150);
+    private static final Duration LOOK = Duration.ofMillis(10);
 
     private final Decisions decisions;
     private final DataNodes dataNodes;
     private final ClientDoor clients;
     private final int cells;
+    private final Rehearsal rehearsal;
     private Startup held;
     private Watch watch;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
+    private final Duration servesOn;
     private volatile boolean ready;
 
     public Router(Startup startup) throws IOException {
@@ -60,7 +72,10 @@
         for (int i = 0; i < settings.count("classes"); i++) {
             usualWaits.put(settings.needed("classes." + i + ".name"), settings.span("classes." + i + ".deadline"));
         }
-        decisions = new Decisions(settings, startup.seed(), settings.atLeast("domain.partsACall", 1), connectWithin);
+        int shards = settings.atLeast("domain.shards", 1);
+        Set<String> owners = Assembly.customers(settings).keySet();
+        int partsACall = settings.atLeast("domain.partsACall", 1);
+        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin);
         cells = settings.atLeast("domain.cells", 1);
         if (startup.known() != null) {
             listed(ListForm.read(startup.known(), cells));
@@ -71,9 +86,14 @@
                 connectWithin, shortOf(idleMost, connectWithin), descriptors - clientsMost,
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
-                Assembly.customers(settings).keySet(), settings.atLeast("domain.shards", 1), clientsMost);
+                owners, shards, clientsMost);
+        rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin),
+                settings.text("zone"), cells, List.copyOf(usualWaits.keySet()), owners.stream().findFirst().orElse(null),
+                shards);
         held = startup;
         watch = new Watch(discovery, cells, this::listed);
+        servesOn = usualWaits.values().stream().filter(Objects::nonNull).reduce(SERVES_ON,
+                (a, b) -> a.compareTo(b) > 0 ? a : b);
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
     }
@@ -118,6 +138,7 @@
         synchronized (this) {
             thread("discovery", watch);
         }
+        LOG.log(System.Logger.Level.DEBUG, "rehearsed with {0} queries", rehearsal.run());
         clients.start();
         LOG.log(System.Logger.Level.INFO, started);
     }
@@ -150,6 +171,11 @@
                 moved ? "is now at" : "stays at", discovery);
     }
 
+    /** Where it listens. */
+    public String address() {
+        return clients.address();
+    }
+
     /** Waits until it is stopped. */
     public void await() throws InterruptedException {
         stopped.await();
@@ -161,6 +187,17 @@
         return early.compareTo(idleMost.dividedBy(2)) > 0 ? early : idleMost.dividedBy(2);
     }
 
+    /** Asks it on the I/O thread. */
+    private boolean on(BooleanSupplier question) throws InterruptedException {
+        FutureTask<Boolean> asked = new FutureTask<>(question::getAsBoolean);
+        worker.getIoThread().execute(asked);
+        try {
+            return asked.get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private static void thread(String name, Runnable work) {
         Thread thread = new Thread(work, name);
         thread.setDaemon(true);
@@ -216,21 +253,25 @@
         return ready;
     }
 
-    /** Stops taking clients, answers all that was taken, and lets {@link #await} return. */
+    /**
+     * Serves on for as long as the longest wait that a client is told to have, so that clients with connections are
+     * served while what replaces this router starts; then stops taking queries, answers all that was taken, and
+     * lets {@link #await} return. Ends as soon as no client is connected, once none can be on its way.
+     */
     public void stop() throws InterruptedException {
         LOG.log(System.Logger.Level.INFO, "stopping");
-        clients.leave();
+        long asked = System.nanoTime();
+        clients.leave(servesOn.plus(STILL_COMING).minus(LAST_ANSWERS));
         Thread.sleep(STILL_COMING.toMillis());
+        while (System.nanoTime() - asked < servesOn.toNanos() && !on(clients::unused)) {
+            Thread.sleep(LOOK.toMillis());
+        }
         clients.close();
         // The last look is taken where requests are read, so none can be begun after it.
-        while (stopped.getCount() > 0) {
-            Thread.sleep(10);
-            worker.getIoThread().execute(() -> {
-                if (clients.idle()) {
-                    stopped.countDown();
-                }
-            });
+        while (!on(clients::idle)) {
+            Thread.sleep(LOOK.toMillis());
         }
+        stopped.countDown();
         synchronized (this) {
             watch.stop();
         }
--- a/src/test/java/postbeam/RouterIT.java
+++ b/src/test/java/postbeam/RouterIT.java
@@ -696,6 +696,7 @@
         assertEquals(0, run("", "--help").waitFor());
         assertEquals(0, run("", "version").waitFor());
         assertTrue(log.poll(LONG, TimeUnit.SECONDS).startsWith("postbeam "));
+        assertEquals(0, run("", "rehearse").waitFor());
         assertEquals(2, run("", "dance").waitFor());
         assertEquals(2, run("", "serve", "--fast").waitFor());
     }
@@ -714,6 +715,9 @@
             until(() -> status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("503"));
             node.mode = "good";
             assertEquals("200", status(query("lookup", "q2", 3000, 0)).substring(0, 3));
+            // What replaces it may not be there yet: a client with a connection is served on.
+            Thread.sleep(1000);
+            assertAnswer(idle, "200", query("lookup", "q3", 3000, 0));
             assertEquals("closed", answer(idle));
             node.send(node.sockets.get(0), "qq1.0 good 0 -\nx");
             assertEquals("200", answer(open).substring(0, 3));
--- a/src/test/java/postbeam/router/DecisionsTest.java
+++ b/src/test/java/postbeam/router/DecisionsTest.java
@@ -203,4 +203,12 @@
         assertTrue(decisions.ends() < 200, decisions.ends() + " times for 200 queries");
         send(all.get(0));
     }
+
+    @Test
+    void aRehearsalAnswersItsQueriesAndLeavesNothingToSend() {
+        int answered = new Rehearsal(decisions, "a", 1, List.of("lookup", "hold"), null, 4).run();
+        assertTrue(answered > 100, answered + " answered");
+        decisions.due();
+        assertTrue(errands.stream().noneMatch(Step.Send.class::isInstance));
+    }
 }
