--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -38,8 +38,10 @@
     private static final double OVERDUE_MOST = 0.6;
     /** Times the usual time that the slowest of many parts takes: past this one is no longer just unlucky. */
     private static final double SLOWEST_TIMES = 2.5;
-    /** Place of the usual node, the fastest first: half may be slow while each part has a sound holder. */
-    private static final double USUAL_PLACE = 0.33;
+    /** Places of the usual node, the fastest first: the middle, unless so many times as slow as the other. */
+    private static final double USUAL_PLACE = 0.5;
+    private static final double SOUND_PLACE = 0.33;
+    private static final double SOUND_TIMES = 2;
     /** Times the usual node's slowness, from which a node is held to be slow. */
     private static final double SLOW_TIMES = 3;
     /** How long a slow or failing node is remembered without a new answer; a few queries' worth. */
@@ -103,6 +105,8 @@
     private int inFlight;
     private boolean waking;
     private boolean crowded;
+    /** Spares in flight: parts out beyond what their queries still need. */
+    private int spares;
     private Duration usualAt;
     private double usual;
 
@@ -164,8 +168,7 @@
         if (!outcome.provesNotRun) {
             part.mayHaveRun(call.sentAt);
         }
-        // What was sent before the last halving tells nothing new: else one query that meets a few full
-        // nodes, or a node that rejects fast, would close the window.
+        // What was sent before the last halving tells nothing new: else a few full nodes close the window.
         if (outcome == Outcome.FULL && call.node.avoidUntil == null
                 && (halvedAt == null || call.sentAt.compareTo(halvedAt) > 0)) {
             halvedAt = now;
@@ -177,8 +180,7 @@
             // Guards against a wide window while every node is slow, which no rejection tells: late parts
             // narrow it where the usual node is slow too. It grows only in use.
             Duration limit = times(q.vertical.sloTime, LATE_SHARE);
-            boolean late = took.compareTo(limit) > 0
-                    && usualTime(now, q.vertical, 2).compareTo(limit) > 0;
+            boolean late = took.compareTo(limit) > 0 && usualTime(now, q.vertical, 2).compareTo(limit) > 0;
             window = Math.max(leastWindow(), late ? window - LATE_STEP
                     : inFlight + 1 >= window * IN_USE_SHARE ? window + 1 : window);
             cancelAll(part);
@@ -241,8 +243,7 @@
 
     /** What is only late may still come: throwing it away would feed an overload. */
     private boolean lateForGood(Duration now, Query q) {
-        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded
-                && (q.alpha() > q.out()
+        return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded && (q.alpha() > q.out()
                 || now.minus(q.sloAt()).compareTo(times(q.vertical.sloTime, STUCK_SHARE)) > 0));
     }
 
@@ -365,6 +366,7 @@
         if (inFlight - lost >= window) {
             return;
         }
+        spares = open.stream().mapToInt(q -> Math.max(0, q.out() - q.alpha())).sum();
         PriorityQueue<Candidate> candidates = new PriorityQueue<>(ORDER);
         for (Query q : open.subList(0, Math.min(open.size(), CANDIDATES))) {
             candidates.add(new Candidate(q, q.alpha() - delta(now, q), worthLittle(now, q),
@@ -388,10 +390,8 @@
 
     /** Sends the query's next part; false where it has none to send now. */
     private boolean sendNext(Duration now, Query q, int value) {
-        // Where the window is narrow, a spare would lengthen the wait that it is to shorten. Spares in flight
-        // are parts out beyond what their queries still need.
-        if (value <= 0 && (!q.anyN() || window < WINDOW_START || 1 + open.stream()
-                .mapToInt(o -> Math.max(0, o.out() - o.alpha())).sum() > SPARE_SHARE * (inFlight + 1))
+        // Where the window is narrow, a spare would lengthen the wait that it is to shorten.
+        if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
                 || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
@@ -414,6 +414,7 @@
             }
         }
         if (bestPart != null) {
+            spares += value <= 0 ? 1 : 0;
             send(now, bestPart, bestNode);
         }
         return bestPart != null;
@@ -433,7 +434,7 @@
     /** A leaf call runs as long as its answer is of use; a side-effecting one as long as its client waits. */
     private static Duration timeout(Duration now, Query q) {
         Duration useful = (q.vertical.lateUtility > 0 ? q.deadline : q.sloAt()).minus(now);
-        return q.vertical.effect == Effect.SIDE_EFFECTING ? null : max(LOOK, useful);
+        return q.vertical.effect == Effect.SIDE_EFFECTING ? null : Collections.max(List.of(LOOK, useful));
     }
 
     /**
@@ -638,11 +639,13 @@
         }
     }
 
-    /** Slowness of the usual node among those that answered lately. */
+    /** Slowness of the usual node among those that answered lately; sound where half of them are not. */
     private double usualSlowness(Duration now) {
         if (!now.equals(usualAt)) {
             usualAt = now;
             usual = Math.max(1, fleet.slowness(USUAL_PLACE, now.minus(HEALTH_MEMORY)));
+            double sound = Math.max(1, fleet.slowness(SOUND_PLACE, now.minus(HEALTH_MEMORY)));
+            usual = usual > SOUND_TIMES * sound ? sound : usual;
         }
         return usual;
     }
@@ -658,7 +661,7 @@
             // A recall throws away the wait: none without time for a second run. A copy loses nothing.
             return calls.mayDuplicate ? most : v.sloTime;
         }
-        return max(usual, times(v.sloTime, OVERDUE_LEAST));
+        return Collections.max(List.of(usual, times(v.sloTime, OVERDUE_LEAST)));
     }
 
     /** Overdue, and its node has answered nothing for as long; at once where the node is left alone. */
@@ -705,10 +708,6 @@
         return a.compareTo(b) < 0 ? a : b;
     }
 
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) < 0 ? b : a;
-    }
-
     private static Duration times(Duration span, double factor) {
         return Duration.ofNanos(Math.round(span.toNanos() * factor));
     }
