A vertical's quiet time creeps up by time, not by the number of answers

Read beside the rates of the sockets: a hundredth an answer was made for a few answers a second; at 300 a second a jam of one second takes quiet from 10 to 320 ms (the test), which then scales what is hopeless, overdue, and a cold node's use of its budget. Now at most a twentieth a second.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -62,6 +62,7 @@
     /** Weights with which a vertical's quiet time falls to a faster answer and creeps up to a slower one. */
     private static final double QUIET_FALL = 0.2;
     private static final double QUIET_RISE = 0.01;
+    private static final double QUIET_SPAN = 20; // seconds of creeping at least: a short jam is not quiet
     /** Share of the SLO time taken for a part's quiet time before any answer has shown it. */
     private static final double QUIET_GUESS = 0.1;
     /** Calls that a suspect node counts for when an offset is chosen: more than a sound one mostly has. */
@@ -103,8 +104,7 @@
     private double window = WINDOW_START;
     private Duration halvedAt;
     private int inFlight;
-    private boolean waking;
-    private boolean crowded;
+    private boolean waking, crowded;
     /** Spares in flight: parts out beyond what their queries still need. */
     private int spares;
     private Duration usualAt;
@@ -388,9 +388,8 @@
     private static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::value)
             .thenComparing(Candidate::little).thenComparing(c -> c.q.sloAt()).thenComparing(Candidate::place);
 
-    /** Sends the query's next part; false where it has none to send now. */
+    /** Sends the query's next part; false where none. In a narrow window a spare lengthens the wait. */
     private boolean sendNext(Duration now, Query q, int value) {
-        // Where the window is narrow, a spare would lengthen the wait that it is to shorten.
         if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
                 || q.anyN() && q.out() > q.alpha()) {
             return false;
@@ -550,7 +549,9 @@
         Vertical v = call.part.query.vertical;
         if (outcome == Outcome.MERGED) {
             Duration known = v.quietTime == null ? took : v.quietTime;
-            double weight = took.compareTo(known) < 0 ? QUIET_FALL : QUIET_RISE;
+            double weight = took.compareTo(known) < 0 ? QUIET_FALL
+                    : Math.min(QUIET_RISE, seconds(now.minus(v.quietAt)) / QUIET_SPAN);
+            v.quietAt = now;
             v.quietTime = known.plus(times(took.minus(known), weight));
             node.answered(now, call.sentAt);
             fleet.answered(node);
@@ -639,7 +640,7 @@
         }
     }
 
-    /** Slowness of the usual node among those that answered lately; sound where half of them are not. */
+    /** Of those that answered lately; sound where half of them are not. */
     private double usualSlowness(Duration now) {
         if (!now.equals(usualAt)) {
             usualAt = now;
@@ -658,8 +659,7 @@
         Duration usual = usualTime(now, v, SLOWEST_TIMES);
         Duration most = times(v.sloTime, OVERDUE_MOST);
         if (usual.compareTo(most) > 0) {
-            // A recall throws away the wait: none without time for a second run. A copy loses nothing.
-            return calls.mayDuplicate ? most : v.sloTime;
+            return calls.mayDuplicate ? most : v.sloTime; // a recall loses the wait, a copy nothing
         }
         return Collections.max(List.of(usual, times(v.sloTime, OVERDUE_LEAST)));
     }
--- a/src/main/java/postbeam/state/Vertical.java
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -21,6 +21,8 @@
 
     /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
     public Duration quietTime;
+    /** When an answer last told of it. */
+    public Duration quietAt = Duration.ZERO;
 
     public Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
             double need, double floor, double shortUtility, int followUp) {
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -69,6 +69,19 @@
         assertFalse(four.ended.contains("rejected"));
     }
 
+    @Test
+    void aJamOfASecondDoesNotPassForQuietHoweverManyAnswersItBrings() {
+        repeatable.quietTime = ms(10);
+        for (int i = 0; i < 100; i++) {
+            given.query(ms(10 * i), repeatable, 1);
+            given.decide.turnEnded(ms(10 * i));
+            LeafCall call = given.sent.get(given.sent.size() - 1);
+            given.decide.leafCallEnded(ms(10 * i), call, Outcome.MERGED, ms(500), false);
+        }
+        assertTrue(repeatable.quietTime.compareTo(ms(50)) < 0, repeatable.quietTime.toString());
+        assertTrue(repeatable.quietTime.compareTo(ms(20)) > 0, repeatable.quietTime.toString());
+    }
+
     @Test
     void whatCantBeSentAgainIsNoTrialOfANodeThatFailed() {
         Given two = new Given(2, true);
