--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -235,6 +235,10 @@
         }
         if (path.equals("/healthz")) {
             boolean ready = queries.ready() && !leaving;
+            if (!ready) {
+                // It is asked again and again, each time on a new connection: none is kept beside the clients'.
+                exchange.setPersistent(false);
+            }
             say(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
             return;
         }
