A rehearsal steps its queries in one place

Rehearsal.step and Rehearsal.serve each had the loop that takes a query's steps and reports its sends; both now call advance. No behaviour changed.

--- a/src/main/java/postbeam/router/Rehearsal.java
+++ b/src/main/java/postbeam/router/Rehearsal.java
@@ -79,19 +79,27 @@
         return done;
     }
 
-    /** Does what the query is given to do; 1 once that was its answer. */
+    /** 1 once the query has its answer. */
     private int step(OpenQuery q) {
+        if (advance(q) != null) {
+            return 1;
+        }
+        open.add(q);
+        return 0;
+    }
+
+    /** Does what the query is given to do; its last step, or null where that is still to come. */
+    private Step advance(OpenQuery q) {
         decisions.due();
         Step step;
         while ((step = decisions.next(q)) != null) {
             if (step instanceof Step.Send send) {
                 decisions.report(send.calls().stream().map(this::ending).toList());
             } else if (!(step instanceof Step.GiveUp)) {
-                return 1;
+                return step;
             }
         }
-        open.add(q);
-        return 0;
+        return null;
     }
 
     /** Mostly merged, now and then not, so that the ways back are known too. */
@@ -117,17 +125,11 @@
 
     @Override
     public Step serve(OpenQuery q) throws InterruptedException {
-        while (true) {
-            decisions.due();
-            Step step = decisions.next(q);
-            if (step instanceof Step.Send send) {
-                decisions.report(send.calls().stream().map(this::ending).toList());
-            } else if (step != null && !(step instanceof Step.GiveUp)) {
-                return step;
-            } else if (step == null) {
-                Thread.sleep(1);
-            }
+        Step last;
+        while ((last = advance(q)) == null) {
+            Thread.sleep(1);
         }
+        return last;
     }
 
     @Override
