What a closed client still sends is read off in one place

ClientConnection.linger read and judged the end twice, once at its start and once in its listener; both are readToTheEnd now. No behaviour changed.

--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -166,25 +166,24 @@
                 getSinkChannel().setWriteListener(ChannelListeners.flushingChannelListener(null, (channel, e) -> cut()));
                 output.resumeWrites();
             }
-            if (readOff() < 0) {
-                cut();
-                return;
-            }
         } catch (IOException e) {
             cut();
             return;
         }
         timer = getIoThread().executeAfter(this::cut, LINGER.toMillis(), TimeUnit.MILLISECONDS);
-        getSourceChannel().setReadListener(channel -> {
-            try {
-                if (readOff() < 0) {
-                    cut();
-                }
-            } catch (IOException e) {
+        getSourceChannel().setReadListener(channel -> readToTheEnd());
+        input.resumeReads();
+        readToTheEnd();
+    }
+
+    private void readToTheEnd() {
+        try {
+            if (readOff() < 0) {
                 cut();
             }
-        });
-        input.resumeReads();
+        } catch (IOException e) {
+            cut();
+        }
     }
 
     /** Reads what has come and drops it: how much, or -1 at the end. */
