--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -121,7 +121,7 @@
         this.cold = cold;
         // Our zone first, then by place within a shard's reach: one offset leads neighbouring shards to the
         // same nodes, and their parts share calls, which have a cost.
-        fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach) + n.cell % fleet.reach));
+        fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach()) + n.cell % fleet.reach()));
     }
 
     // ---- what can happen
@@ -225,10 +225,7 @@
 
     private void settle(Duration now, Query q) {
         double in = q.mergedWeight();
-        double possible = 0;
-        for (Part part : q.parts) {
-            possible += part.merged || !part.out.isEmpty() || mayStillSend(now, part) ? part.weight : 0;
-        }
+        double possible = q.weightOf(part -> part.merged || !part.out.isEmpty() || mayStillSend(now, part));
         boolean waiting = q.step == 2 && q.parts.isEmpty();
         Duration left = q.deadline.minus(now);
         if (!waiting && in + ROUNDING >= q.needed()) {
@@ -423,7 +420,7 @@
         if (!part.calls.isEmpty()) {
             further.sent().add(now, 1);
         }
-        cold.sent(now, node, cold.work(part, quiet(part.query.vertical)));
+        cold.sent(now, node, fleet.tookAt(part.shard, node), cold.work(part, quiet(part.query.vertical)));
         LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
         node.zone.trial = node.zone.strikes > 0 && !shunned(now, node.zone) ? call : node.zone.trial;
         inFlight++;
@@ -509,7 +506,8 @@
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
             Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY || !cold.allows(now, node, work, fleet)) {
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, work, fleet)
+                    || !cold.allowsTaken(now, node, fleet.tookAt(part.shard, node), work, fleet)) {
                 continue;
             }
             // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
@@ -758,31 +756,49 @@
             return part.work == null ? quiet : part.work.plus(callCost);
         }
 
-        void sent(Duration now, DataNode node, Duration work) {
+        /** The time when the node took the part's shard over counts only where there is one. */
+        void sent(Duration now, DataNode node, Duration tookAt, Duration work) {
             node.workSent.add(now, seconds(work));
             allSent.add(now, seconds(work));
+            if (tookAt != null) {
+                node.takenSent = node.takenSent == null ? ring() : node.takenSent;
+                node.takenSent.add(now, seconds(work));
+            }
         }
 
         /** Capacity is taken as it was when the window began, so every window is within its budget. */
         boolean allows(Duration now, DataNode node, Duration work, Fleet fleet) {
-            if (span == null || ramp == null || multiple == null || node.startedAt == null) {
+            return allows(now, node.startedAt, node.workSent, node.lot, work, fleet);
+        }
+
+        /**
+         * Guards against a rush on shards that a node took over just now, whose data is not warm there: for
+         * them it counts as cold, with all that it lately took. What else it holds is not held back.
+         */
+        boolean allowsTaken(Duration now, DataNode node, Duration tookAt, Duration work, Fleet fleet) {
+            return tookAt == null || allows(now, tookAt, node.takenSent, node.lot, work, fleet);
+        }
+
+        private boolean allows(Duration now, Duration since, TimeRing ring, double lot, Duration work,
+                Fleet fleet) {
+            if (span == null || ramp == null || multiple == null || since == null) {
                 return true;
             }
-            Duration age = now.minus(node.startedAt);
+            Duration age = now.minus(since);
             if (age.compareTo(ramp.plus(span)) >= 0) {
                 return true;
             }
             double risen = Math.max(0, seconds(age.minus(span)) / seconds(ramp));
             double rate = multiple * (from * (1 - risen) + risen) * WARM_WORK;
-            double sent = node.workSent.atLeast(now, span);
+            double sent = ring == null ? 0 : ring.atLeast(now, span);
             double after = sent + seconds(work);
             if (after <= COLD_SAFETY * rate * seconds(span) / routers) {
                 return true;
             }
             double measured = Math.min(seconds(SHARE_SPAN), Math.max(1, seconds(now)));
-            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * fleet.reach / fleet.size();
+            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * fleet.reach() / fleet.size();
             return routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
-                    && node.lot * usual * routers < COLD_LOT * rate;
+                    && lot * usual * routers < COLD_LOT * rate;
         }
     }
 
--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -9,11 +9,19 @@
 import java.net.Proxy;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
 import postbeam.router.Logs;
+import postbeam.layouts.LayoutsCommand;
+import postbeam.rig.TrialCommand;
+import postbeam.rig.TryOut;
 import postbeam.router.Router;
+import postbeam.setup.Info;
+import postbeam.setup.OwnSettings;
 import postbeam.setup.Startup;
+import postbeam.slices.Slicing;
 import sun.misc.Signal;
 
 /** Command line entry: each way of running postbeam is a sub-command. */
@@ -32,6 +40,10 @@
     private static final class Serve {
         @Parameter(names = "--config", description = "File of JSON; else the one that BALANCER_CONFIG names")
         private String config = System.getenv("BALANCER_CONFIG");
+
+        @Parameter(names = "--settings", description = "File of our own settings in JSON5, as deploy/postbeam.json5; "
+                + "without it no subsystem of these is loaded")
+        private String settings;
     }
 
     @Parameters(commandDescription = "Start on a free loopback port, answer a few queries and end; the build records "
@@ -54,6 +66,9 @@
         JCommander line = JCommander.newBuilder().programName("postbeam").addObject(main)
                 .addCommand("serve", serve).addCommand("benchlink", new Benchlink()).addCommand("rehearse", rehearse)
                 .addCommand("version", new Version()).build();
+        // What a router does not need is not loaded where one is started.
+        Map<String, Running> others = args.length > 0 && line.getCommands().containsKey(args[0]) ? Map.of()
+                : others(line);
         try {
             line.parse(args);
         } catch (ParameterException e) {
@@ -68,10 +83,11 @@
             System.exit(2);
         } else {
             System.exit(switch (line.getParsedCommand()) {
-                case "serve" -> serve(serve.config);
+                case "serve" -> serve(serve.config, serve.settings);
                 case "benchlink" -> benchlink();
                 case "rehearse" -> rehearse(rehearse.config);
-                default -> version();
+                case "version" -> version();
+                default -> quietly(others.get(line.getParsedCommand()));
             });
         }
     }
@@ -95,11 +111,41 @@
         return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
     }
 
-    private static int serve(String config) throws InterruptedException {
+    private interface Running {
+        int run() throws InterruptedException;
+    }
+
+    private static Map<String, Running> others(JCommander line) {
+        LayoutsCommand layouts = new LayoutsCommand();
+        TrialCommand trial = new TrialCommand();
+        TryOut tryOut = new TryOut();
+        line.addCommand("layouts", layouts);
+        line.addCommand("trial", trial);
+        line.addCommand("try", tryOut);
+        return Map.of("layouts", () -> layouts.run(System.out, System.err), "trial", () -> trial.run(System.out),
+                "try", () -> tryOut.run(System.out));
+    }
+
+    private static int quietly(Running command) throws InterruptedException {
+        Logs.bound();
+        return command.run();
+    }
+
+    /** What our own settings switch on. */
+    private static Router router(Startup startup, String settings) throws IOException {
+        if (settings == null) {
+            return new Router(startup);
+        }
+        Info own = OwnSettings.read(Path.of(settings));
+        return Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))
+                ? new Router(startup, new Slicing(), own.needed("layouts.follow.service")) : new Router(startup);
+    }
+
+    private static int serve(String config, String settings) throws InterruptedException {
         Logs.bound();
         Router router;
         try {
-            router = new Router(Startup.read(config));
+            router = router(Startup.read(config), settings);
         } catch (IOException | IllegalArgumentException e) {
             System.err.println("postbeam: configuration " + config + ": "
                     + firstLine(e));
--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -40,6 +40,7 @@
 import postbeam.router.Asked;
 import postbeam.router.OpenQuery;
 import postbeam.router.Step;
+import postbeam.slices.Unroutable;
 
 /** Where clients connect: reads queries, gives each a thread, writes answers, and notices clients that leave. */
 public final class ClientDoor implements HttpHandler {
@@ -67,13 +68,15 @@
     private static final Duration LEFT_TO_ASK = Duration.ofMillis(200);
     /** Connections that the machine holds until they are accepted. */
     private static final int BACKLOG = 1000;
+    /** When a client may ask again that is ahead of the layout known here: watches tell it sooner, mostly. */
+    private static final Duration LAYOUT_COMES = Duration.ofMillis(200);
     /** How long a query's thread is kept for the next. */
     private static final Duration THREAD_KEPT = Duration.ofSeconds(30);
 
     /** What stands behind the door. */
     public interface Queries {
         /** Takes a query so long after its first byte; null where one of its id is open. */
-        OpenQuery take(Asked asked, Duration age);
+        OpenQuery take(Asked asked, Duration age) throws Unroutable;
 
         /** Serves it to its end, on the calling thread. */
         Step serve(OpenQuery q) throws InterruptedException;
@@ -317,7 +320,13 @@
             // What is still open when the program is ended would be lost.
             asked = asked.within(Duration.ofNanos(Math.max(0, leaveAt - begun)));
         }
-        OpenQuery q = queries.take(asked, Duration.ofNanos(System.nanoTime() - begun));
+        OpenQuery q;
+        try {
+            q = queries.take(asked, Duration.ofNanos(System.nanoTime() - begun));
+        } catch (Unroutable e) {
+            unroutable(exchange, e);
+            return;
+        }
         if (q == null) {
             say(exchange, 400, "a query of this Req-Id is open");
             return;
@@ -328,6 +337,18 @@
         io.execute(() -> watch(exchange, q));
     }
 
+    /** Nothing of it has run: the client may ask again, by the layout that is told, or after a wait. */
+    private static void unroutable(HttpServerExchange exchange, Unroutable e) {
+        if (e.reason == Unroutable.Reason.NOT_KNOWN_YET) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, String.valueOf(LAYOUT_COMES.toMillis() / 1000.0));
+        }
+        say(exchange, switch (e.reason) {
+            case NO_LONGER_KEPT -> 410;
+            case NOT_KNOWN_YET -> 503;
+            case NO_SUCH_SLICE -> 400;
+        }, e.getMessage());
+    }
+
     /** Notices that the client closes its connection while its query is served. */
     private void watch(HttpServerExchange exchange, OpenQuery q) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
--- a/src/main/java/postbeam/clients/QueryForm.java
+++ b/src/main/java/postbeam/clients/QueryForm.java
@@ -22,6 +22,7 @@
     private static final HttpString ID = new HttpString("Req-Id");
     private static final HttpString OWNER = new HttpString("Req-Owner");
     private static final HttpString DEADLINE = new HttpString("Req-Deadline-Ms");
+    private static final HttpString LAYOUT = new HttpString("Req-Layout");
     /** Characters: an id travels in each frame. */
     private static final int LONGEST_ID = 64;
     /** Milliseconds: a day; no client waits so long. */
@@ -63,7 +64,21 @@
             throw new IOException("the portions of ranges add up to " + sum + ", not 1");
         }
         byte[] text = Json.member(query, "predicate", String.class).getBytes(StandardCharsets.UTF_8);
-        return new Asked(id, vertical, owner, wait(header(exchange, DEADLINE), usualWait), parts, text);
+        return new Asked(id, vertical, owner, wait(header(exchange, DEADLINE), usualWait), parts, text,
+                layout(header(exchange, LAYOUT)));
+    }
+
+    /** The version by which slices are named; 0 where none is told. */
+    private static long layout(String header) throws IOException {
+        try {
+            long version = header == null ? 0 : Long.parseLong(header);
+            if (version >= 0) {
+                return version;
+            }
+        } catch (NumberFormatException e) {
+            // Told below.
+        }
+        throw new IOException("Req-Layout can't be used");
     }
 
     private static Duration wait(String header, Duration usual) throws IOException {
@@ -90,15 +105,32 @@
         return values == null ? null : values.getFirst();
     }
 
+    /** Which keys the value is for, and which of the named slices they lie in. */
+    private static void write(JsonGenerator json, Step.Cover cover) throws IOException {
+        json.writeNumberField("from", cover.from());
+        json.writeNumberField("to", cover.to());
+        json.writeArrayFieldStart("named");
+        for (int slice : cover.named()) {
+            json.writeNumber(slice);
+        }
+        json.writeEndArray();
+    }
+
     static byte[] write(Step.Answer answer) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (JsonGenerator json = Json.FACTORY.createGenerator(bytes)) {
             json.writeStartObject();
             json.writeBooleanField("total", answer.whole());
+            if (answer.layout() > 0) {
+                json.writeNumberField("layout", answer.layout());
+            }
             json.writeArrayFieldStart("answers");
             for (Step.Value value : answer.values()) {
                 json.writeStartObject();
                 json.writeNumberField("range", value.shard());
+                if (value.cover() != null) {
+                    write(json, value.cover());
+                }
                 json.writeFieldName("blob");
                 json.writeUTF8String(value.text(), 0, value.text().length);
                 json.writeEndObject();
--- a/src/main/java/postbeam/datanodes/Frames.java
+++ b/src/main/java/postbeam/datanodes/Frames.java
@@ -66,6 +66,7 @@
             case "good" -> Outcome.MERGED;
             case "bad" -> Outcome.ERROR;
             case "later" -> Outcome.FULL;
+            case "moved" -> Outcome.MOVED;
             default -> throw new BadFrame("an answer that ended in an unknown way");
         };
         byte[] value = Arrays.copyOfRange(rest, end + 1, rest.length);
--- /dev/null
+++ b/src/main/java/postbeam/rig/HeldSlices.java
@@ -0,0 +1,93 @@
+package postbeam.rig;
+
+import java.util.Map;
+import java.util.TreeMap;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Order;
+
+/** What one stand-in node holds, as it was ordered: which calls it takes, and which it says it never ran. */
+final class HeldSlices {
+    enum Standing { COPYING, HOLDING, SERVING, FENCED }
+
+    /** A slice here; calls of an older version than this one are not for it. */
+    static final class Held {
+        final KeyRange keys;
+        Standing standing = Standing.COPYING;
+        long from;
+        /** Calls taken and not over. */
+        int running;
+        boolean copied;
+
+        Held(KeyRange keys) {
+            this.keys = keys;
+        }
+    }
+
+    private final Map<Integer, Held> held = new TreeMap<>();
+
+    Held of(int slice) {
+        return held.get(slice);
+    }
+
+    /** Takes a call, which {@link #over} must end; null where it is not served here under that version. */
+    Held take(int slice, long version, KeyRange keys) {
+        Held one = held.get(slice);
+        if (one == null || one.standing != Standing.SERVING || version < one.from || !one.keys.holds(keys)) {
+            return null;
+        }
+        one.running++;
+        return one;
+    }
+
+    void over(Held one) {
+        one.running--;
+    }
+
+    /** A node that starts afresh holds nothing until it is told. */
+    void forgetAll() {
+        held.clear();
+    }
+
+    /** Whether the order is done; else it goes on, and the same order later tells. The copying is the caller's. */
+    boolean ordered(Order order, int slice, KeyRange keys, long version, boolean copied) {
+        Held one = held.get(slice);
+        switch (order) {
+            case COPY -> {
+                if (one == null || one.standing == Standing.FENCED) {
+                    one = new Held(keys);
+                    held.put(slice, one);
+                }
+                one.copied |= copied;
+                return one.copied;
+            }
+            case HOLD -> {
+                if (one == null || !one.copied) {
+                    return false;
+                }
+                one.standing = one.standing == Standing.COPYING ? Standing.HOLDING : one.standing;
+                return true;
+            }
+            case FENCE -> {
+                if (one == null) {
+                    return true;
+                }
+                one.standing = Standing.FENCED;
+                return one.running == 0;
+            }
+            case SERVE -> {
+                if (one == null) {
+                    one = new Held(keys);
+                    held.put(slice, one);
+                }
+                one.from = one.standing == Standing.SERVING ? Math.max(one.from, version) : version;
+                one.standing = Standing.SERVING;
+                one.copied = true;
+                return true;
+            }
+            default -> {
+                held.remove(slice);
+                return true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/rig/Load.java
@@ -0,0 +1,216 @@
+package postbeam.rig;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import postbeam.setup.Json;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Layout;
+import postbeam.slices.Slice;
+
+/** Steady clients of a stage: they ask by a layout that they know, wait so long, and try a rejected query again. */
+final class Load {
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final Duration SLO = Duration.ofSeconds(1);
+    /** Longest time of an answer that is told apart, in microseconds. */
+    private static final long LONGEST_MICROS = 10_000_000;
+    private static final int RETRIES = 2;
+
+    private final Stage stage;
+    private final boolean sliced;
+    private final int shards;
+    private final UniformRandomProvider chance;
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .executor(Executors.newFixedThreadPool(8, run -> {
+                Thread thread = new Thread(run, "clients");
+                thread.setDaemon(true);
+                return thread;
+            })).build();
+    private final AtomicReference<Layout> known = new AtomicReference<>();
+    private final ConcurrentHistogram times = new ConcurrentHistogram(LONGEST_MICROS, 3);
+    private final AtomicInteger asked = new AtomicInteger();
+    private final AtomicInteger good = new AtomicInteger();
+    private final AtomicInteger tries = new AtomicInteger();
+    private final Map<Integer, AtomicInteger> statuses = new ConcurrentHashMap<>();
+    private final AtomicInteger open = new AtomicInteger();
+
+    private record Query(World.Kind kind, Layout layout, List<Referee.Wanted> wanted, Duration askedAt, int tried) { }
+
+    Load(Stage stage, boolean sliced, int shards, UniformRandomProvider chance) {
+        this.stage = stage;
+        this.sliced = sliced;
+        this.shards = shards;
+        this.chance = chance;
+    }
+
+    void known(Layout layout) {
+        known.set(layout);
+    }
+
+    /** So many a second for so long, then waits for the last answers. */
+    void run(double rate, Duration length) throws InterruptedException {
+        long next = System.nanoTime();
+        long end = next + length.toNanos();
+        while (next < end) {
+            long wait = next - System.nanoTime();
+            if (wait > 0) {
+                TimeUnit.NANOSECONDS.sleep(wait);
+            }
+            ask();
+            next += (long) (-Math.log(1 - chance.nextDouble()) / rate * 1e9);
+        }
+        long until = System.nanoTime() + PATIENCE.plusSeconds(2).toNanos();
+        while (open.get() > 0 && System.nanoTime() < until) {
+            Thread.sleep(10);
+        }
+    }
+
+    private void ask() {
+        World.Kind kind = World.kinds().get(chance.nextInt(World.kinds().size()));
+        Layout layout = known.get();
+        List<Referee.Wanted> wanted = new ArrayList<>();
+        int count = 1 + chance.nextInt(6);
+        if (sliced) {
+            List<Slice> slices = layout.slices();
+            int first = chance.nextInt(slices.size());
+            List<Slice> named = slices.subList(first, Math.min(slices.size(), first + count));
+            named.forEach(slice -> wanted.add(new Referee.Wanted(slice.number(), slice.keys(), 1.0 / named.size())));
+        } else {
+            int first = chance.nextInt(Math.max(1, shards - count));
+            for (int i = 0; i < count; i++) {
+                wanted.add(new Referee.Wanted(first + i, new KeyRange(first + i, first + i + 1), 1.0 / count));
+            }
+        }
+        asked.incrementAndGet();
+        send(new Query(kind, layout, wanted, stage.now(), 0));
+    }
+
+    private void send(Query query) {
+        int router = chanceUpTo(stage.routerAddresses.size());
+        String id = "r" + router + query.kind.name() + tries.incrementAndGet();
+        Duration now = stage.now();
+        if (sliced) {
+            stage.referee.asked(now, id, "r" + router, query.kind.promise(), query.kind.need(), query.kind.floor(),
+                    query.layout.version, query.wanted, now.plus(PATIENCE));
+        }
+        StringBuilder ranges = new StringBuilder();
+        for (Referee.Wanted one : query.wanted) {
+            ranges.append(ranges.length() == 0 ? "" : ",").append("{\"range\":").append(one.slice())
+                    .append(",\"portion\":").append(one.weight()).append('}');
+        }
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + stage.routerAddresses.get(router)
+                + "/" + query.kind.name() + "?obj=7f")).header("Req-Id", id).header("Req-Owner", "acme")
+                .header("Req-Deadline-Ms", String.valueOf(PATIENCE.toMillis()))
+                .timeout(PATIENCE.plusSeconds(1))
+                .POST(HttpRequest.BodyPublishers.ofString("{\"ranges\":[" + ranges + "],\"predicate\":\"c41e77d0\"}"));
+        if (sliced) {
+            request.header("Req-Layout", String.valueOf(query.layout.version));
+        }
+        open.incrementAndGet();
+        CompletableFuture<HttpResponse<byte[]>> answer =
+                http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+        answer.whenComplete((response, failure) -> {
+            try {
+                over(query, id, response);
+            } catch (IOException e) {
+                statuses.computeIfAbsent(-2, key -> new AtomicInteger()).incrementAndGet();
+            } finally {
+                open.decrementAndGet();
+            }
+        });
+    }
+
+    private void over(Query query, String id, HttpResponse<byte[]> response) throws IOException {
+        Duration now = stage.now();
+        int status = response == null ? -1 : response.statusCode();
+        statuses.computeIfAbsent(status, key -> new AtomicInteger()).incrementAndGet();
+        if (status == 200) {
+            Duration took = now.minus(query.askedAt);
+            times.recordValue(Math.min(LONGEST_MICROS, took.toNanos() / 1000));
+            good.addAndGet(took.compareTo(SLO) <= 0 ? 1 : 0);
+            if (sliced) {
+                judge(id, now, Json.object(response.body()));
+            }
+        } else if (status == 429 || status == 503 || status == 410) {
+            if (sliced) {
+                stage.referee.rejected(now, id);
+            }
+            if (query.tried < RETRIES && now.minus(query.askedAt).compareTo(PATIENCE) < 0) {
+                CompletableFuture.delayedExecutor(200, TimeUnit.MILLISECONDS).execute(() -> again(query));
+            }
+        } else if (status > 0 && sliced) {
+            stage.referee.failed(now, id);
+        }
+    }
+
+    /** By the layout that is known now: the numbers asked for may have changed, so the keys are asked for again. */
+    private void again(Query query) {
+        Layout layout = known.get();
+        List<Referee.Wanted> wanted = query.wanted;
+        if (sliced && layout.version != query.layout.version) {
+            Map<Slice, Double> weights = new LinkedHashMap<>();
+            for (Referee.Wanted one : query.wanted) {
+                for (Slice slice : layout.meeting(one.keys())) {
+                    weights.merge(slice, one.weight() * one.keys().share(slice.keys()), Double::sum);
+                }
+            }
+            wanted = weights.entrySet().stream().map(entry -> new Referee.Wanted(entry.getKey().number(),
+                    entry.getKey().keys(), entry.getValue())).toList();
+        }
+        send(new Query(query.kind, layout, wanted, query.askedAt, query.tried + 1));
+    }
+
+    private void judge(String id, Duration now, Map<String, Object> body) throws IOException {
+        List<Referee.Value> values = new ArrayList<>();
+        for (Object one : Json.member(body, "answers", List.class)) {
+            Map<?, ?> value = (Map<?, ?>) one;
+            values.add(new Referee.Value(new KeyRange(Json.member(value, "from", Number.class).longValue(),
+                    Json.member(value, "to", Number.class).longValue()), Json.member(value, "blob", String.class)));
+        }
+        stage.referee.answered(now, id, Json.member(body, "total", Boolean.class),
+                Json.member(body, "layout", Number.class).longValue(), values);
+    }
+
+    private int chanceUpTo(int most) {
+        synchronized (chance) {
+            return chance.nextInt(most);
+        }
+    }
+
+    // ---- figures
+
+    int asked() {
+        return asked.get();
+    }
+
+    double inTime() {
+        return (double) good.get() / Math.max(1, asked.get());
+    }
+
+    double millis(double percentile) {
+        return times.getValueAtPercentile(percentile) / 1000.0;
+    }
+
+    String statuses() {
+        StringBuilder text = new StringBuilder();
+        new java.util.TreeMap<>(statuses).forEach((status, count) -> text.append(text.length() == 0 ? "" : " ")
+                .append(status).append(':').append(count));
+        return text.toString();
+    }
+
+}
--- /dev/null
+++ b/src/main/java/postbeam/rig/Referee.java
@@ -0,0 +1,352 @@
+package postbeam.rig;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Layout;
+import postbeam.slices.Slice;
+
+/**
+ * Sees what clients ask and are answered and what nodes are sent and run, and checks the six rules after each event.
+ * It believes no router: which keys an answer covers it reckons from the values, what ran from the nodes. To be
+ * called by one thread at a time; times are spans since the start of the run.
+ */
+final class Referee {
+    /** What is allowed for the way of a message and for a busy machine. */
+    private final Duration slack;
+    private final Duration drainGrace;
+    private final Rules rules;
+    private final TreeMap<Long, Layout> layouts = new TreeMap<>();
+    private final Map<String, Watched> queries = new HashMap<>();
+    private final Map<String, Duration> drainingSince = new HashMap<>();
+    private final Map<String, Duration> startedAt = new HashMap<>();
+    private final Map<String, Cold> cold = new HashMap<>();
+    private final Map<String, Budget> budgets = new HashMap<>();
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, Duration> versionAt = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private long calls;
+    private long further;
+    private long runs;
+
+    /** What is counted on: zero spans and nulls where a rule is not stated. */
+    record Rules(double coldFrom, Duration ramp, double fallMultiple, Duration fall, double warmWork,
+            double freeFurther, double furtherShare, Duration furtherSpan, Duration repeatWindow) { }
+
+    /** How a vertical is promised. */
+    enum Kind { REPEATABLE, DEDUPLICATED, SIDE_EFFECTING }
+
+    /** One slice that a client named, with its share. */
+    record Wanted(int slice, KeyRange keys, double weight) { }
+
+    /** A value in an answer. */
+    record Value(KeyRange keys, String text) { }
+
+    private static final class Watched {
+        final String id;
+        final String router;
+        final Kind kind;
+        final double need;
+        final double floor;
+        final long version;
+        final List<Wanted> wanted;
+        final Duration askedAt;
+        final Duration until;
+        int firstCalls;
+        int partsCounted;
+        final Map<KeyRange, Duration> sent = new LinkedHashMap<>();
+        final Map<KeyRange, Duration> ran = new LinkedHashMap<>();
+        final Map<String, KeyRange> out = new LinkedHashMap<>();
+        boolean answered;
+        boolean left;
+        boolean rejected;
+
+        Watched(String id, String router, Kind kind, double need, double floor, long version, List<Wanted> wanted,
+                Duration askedAt, Duration until) {
+            this.askedAt = askedAt;
+            this.id = id;
+            this.router = router;
+            this.kind = kind;
+            this.need = need;
+            this.floor = floor;
+            this.version = version;
+            this.wanted = wanted;
+            this.until = until;
+        }
+    }
+
+    /** Work that cold nodes were sent, by time. */
+    private static final class Cold {
+        final TreeMap<Duration, Double> work = new TreeMap<>();
+    }
+
+    private static final class Budget {
+        final TreeMap<Duration, Integer> taken = new TreeMap<>();
+        final TreeMap<Duration, Integer> further = new TreeMap<>();
+    }
+
+    Referee(Rules rules, Duration drainGrace, Duration slack) {
+        this.rules = rules;
+        this.drainGrace = drainGrace;
+        this.slack = slack;
+    }
+
+    // ---- what is seen
+
+    synchronized void layout(Layout layout) {
+        layouts.put(layout.version, layout);
+    }
+
+    synchronized void asked(Duration now, String id, String router, Kind kind, double need, double floor, long version,
+            List<Wanted> wanted, Duration until) {
+        queries.put(id, new Watched(id, router, kind, need, floor, version, wanted, now, until));
+        // What counts as taken is the query and its parts, as the newest layout cuts them; more come with their calls.
+        Watched q = queries.get(id);
+        Layout newest = layouts.lastEntry().getValue();
+        int parts = wanted.stream().mapToInt(one -> newest.meeting(one.keys).size()).sum();
+        q.partsCounted = Math.max(wanted.size(), parts);
+        budgets.computeIfAbsent(router, key -> new Budget()).taken.merge(now, 1 + q.partsCounted, Integer::sum);
+    }
+
+    synchronized void nodeStarted(Duration now, String node) {
+        startedAt.put(node, now);
+        cold.put(node, new Cold());
+    }
+
+    synchronized void told(Duration now, String node, boolean draining) {
+        if (draining) {
+            drainingSince.putIfAbsent(node, now);
+        } else {
+            drainingSince.remove(node);
+        }
+    }
+
+    /** A whole call has come to a node: under this id, for these keys of a query, by this version of the layout. */
+    synchronized void called(Duration now, String node, String query, String part, KeyRange keys, long version,
+            Duration work) {
+        calls++;
+        Watched q = queries.get(query);
+        if (q == null) {
+            breaks(now, 5, query, part, "a part that no client asked for");
+            return;
+        }
+        if (q.wanted.stream().noneMatch(one -> one.keys.meets(keys))) {
+            breaks(now, 5, query, part, "keys that the client did not ask for: " + keys);
+        }
+        if (q.answered && now.compareTo(q.until.plus(slack)) > 0) {
+            breaks(now, 1, query, part, "sent after the client's time was up");
+        }
+        Duration since = drainingSince.get(node);
+        if (since != null && now.minus(since).compareTo(drainGrace.plus(slack)) > 0) {
+            breaks(now, 3, query, part, "sent to " + node + ", which drains since " + since.toMillis() + " ms");
+        }
+        if (q.kind != Kind.REPEATABLE && q.out.values().stream().anyMatch(keys::meets)) {
+            breaks(now, 2, query, part, "two calls out for the keys " + keys);
+        }
+        Duration first = q.ran.entrySet().stream().filter(entry -> entry.getKey().meets(keys)).map(Map.Entry::getValue)
+                .min(Duration::compareTo).orElse(null);
+        if (q.kind == Kind.SIDE_EFFECTING && first != null) {
+            breaks(now, 2, query, part, "sent again, though the keys " + keys + " have run");
+        }
+        if (q.kind == Kind.DEDUPLICATED && first != null
+                && now.minus(first).compareTo(rules.repeatWindow.plus(slack)) > 0) {
+            breaks(now, 2, query, part, "sent again past the window of repeats");
+        }
+        boolean again = q.sent.keySet().stream().anyMatch(keys::meets);
+        q.sent.putIfAbsent(keys, now);
+        q.out.put(part, keys);
+        if (again) {
+            further++;
+            budget(now, q, part);
+        } else if (++q.firstCalls > q.partsCounted) {
+            budgets.get(q.router).taken.merge(q.askedAt, 1, Integer::sum);
+        }
+        coldCheck(now, node, query, part, work);
+        long highest = versions.getOrDefault(q.router, 0L);
+        if (version > highest) {
+            versions.put(q.router, version);
+            versionAt.put(q.router, now);
+        } else if (version < highest && now.minus(versionAt.get(q.router)).compareTo(slack) > 0) {
+            breaks(now, 5, query, part, "router " + q.router + " went back from layout " + highest + " to " + version);
+        }
+    }
+
+    private void budget(Duration now, Watched q, String part) {
+        Budget budget = budgets.get(q.router);
+        budget.further.merge(now, 1, Integer::sum);
+        if (rules.furtherSpan != null) {
+            Duration from = now.minus(rules.furtherSpan);
+            int made = budget.further.tailMap(from).values().stream().mapToInt(Integer::intValue).sum();
+            int taken = budget.taken.tailMap(from.minus(slack)).values().stream().mapToInt(Integer::intValue).sum();
+            if (made > rules.freeFurther + rules.furtherShare * taken + 1) {
+                breaks(now, 6, q.id, part, made + " further calls with " + taken + " taken");
+            }
+        }
+    }
+
+    private void coldCheck(Duration now, String node, String query, String part, Duration work) {
+        Duration started = startedAt.get(node);
+        if (started == null || rules.ramp == null || now.minus(started).compareTo(rules.ramp) >= 0) {
+            return;
+        }
+        TreeMap<Duration, Double> sent = cold.get(node).work;
+        sent.merge(now, work.toNanos() / 1e9, Double::sum);
+        double sum = sent.tailMap(now.minus(rules.fall)).values().stream().mapToDouble(Double::doubleValue).sum();
+        double warm = rules.coldFrom + (1 - rules.coldFrom) * now.minus(started).toNanos() / rules.ramp.toNanos();
+        double limit = rules.fallMultiple * warm * rules.warmWork * rules.fall.toNanos() / 1e9;
+        if (sum > limit) {
+            breaks(now, 4, query, part, String.format("cold node %s was sent %.3f s of work, over %.3f", node, sum,
+                    limit));
+        }
+    }
+
+    synchronized void ran(Duration now, String query, String part, KeyRange keys) {
+        runs++;
+        Watched q = queries.get(query);
+        if (q == null) {
+            return;
+        }
+        for (KeyRange before : q.ran.keySet()) {
+            if (q.kind != Kind.REPEATABLE && before.meets(keys)) {
+                breaks(now, 2, query, part, "the keys " + before.common(keys) + " have run twice");
+            }
+        }
+        if (q.rejected && q.kind != Kind.REPEATABLE) {
+            breaks(now, 2, query, part, "ran though its query was rejected as never run");
+        }
+        q.ran.put(keys, now);
+    }
+
+    /** The call is over for its node: it has answered, or can do nothing more. */
+    synchronized void over(String query, String part) {
+        Watched q = queries.get(query);
+        if (q != null) {
+            q.out.remove(part);
+        }
+    }
+
+    synchronized void left(String query) {
+        queries.get(query).left = true;
+    }
+
+    /** A rejection: asking again must be harmless. */
+    synchronized void rejected(Duration now, String query) {
+        Watched q = finished(now, query);
+        q.rejected = true;
+        if (q.kind != Kind.REPEATABLE && !q.ran.isEmpty()) {
+            breaks(now, 2, query, "-", "rejected though the keys " + q.ran.keySet() + " have run");
+        }
+    }
+
+    synchronized void failed(Duration now, String query) {
+        finished(now, query);
+    }
+
+    /** An answer; the layout is the one that it says it counts by. */
+    synchronized void answered(Duration now, String query, boolean whole, long counted, List<Value> values) {
+        Watched q = finished(now, query);
+        List<KeyRange> in = new ArrayList<>();
+        for (Value value : values) {
+            if (!value.text.equals(valueOf(query, value.keys))) {
+                breaks(now, 5, query, "-", "a value that no node made: " + value);
+            }
+            if (in.stream().anyMatch(value.keys::meets)) {
+                breaks(now, 5, query, "-", "the keys " + value.keys + " are answered twice");
+            }
+            in.add(value.keys);
+        }
+        double weight = weight(q, q.version, in);
+        Layout end = layouts.get(counted);
+        if (end == null) {
+            breaks(now, 5, query, "-", "counts by layout " + counted + ", which never was");
+        } else if (counted != q.version) {
+            weight = Math.max(weight, weightBy(q, end, in));
+        }
+        if (weight + 0.0001 < q.floor) {
+            breaks(now, 5, query, "-", String.format("answered with %.4f, under the floor of %.4f", weight, q.floor));
+        }
+        if (whole && weight + 0.0001 < q.need) {
+            breaks(now, 5, query, "-", String.format("marked whole with %.4f of %.4f", weight, q.need));
+        }
+    }
+
+    private Watched finished(Duration now, String query) {
+        Watched q = queries.get(query);
+        if (q.answered) {
+            breaks(now, 1, query, "-", "a second final answer");
+        }
+        q.answered = true;
+        if (now.compareTo(q.until.plus(slack)) > 0) {
+            breaks(now, 1, query, "-", "answered " + now.minus(q.until).toMillis() + " ms after the client's time");
+        }
+        return q;
+    }
+
+    /** At the end of a run: whoever still has no answer will have none. */
+    synchronized void end(Duration now) {
+        for (Watched q : queries.values()) {
+            if (!q.answered && !q.left && now.compareTo(q.until.plus(slack)) > 0) {
+                breaks(now, 1, q.id, "-", "no answer");
+            }
+        }
+    }
+
+    // ---- reckoning
+
+    /** What any node gives for these keys of a query. */
+    static String valueOf(String query, KeyRange keys) {
+        return "v" + query + ":" + keys;
+    }
+
+    private static boolean covered(KeyRange keys, List<KeyRange> in) {
+        long held = 0;
+        for (KeyRange one : in) {
+            held += one.meets(keys) ? one.common(keys).size() : 0;
+        }
+        return held == keys.size();
+    }
+
+    private static double weight(Watched q, long version, List<KeyRange> in) {
+        return q.wanted.stream().filter(one -> covered(one.keys, in)).mapToDouble(Wanted::weight).sum();
+    }
+
+    /** By the slices of another layout: one counts with all that the query wants of it. */
+    private static double weightBy(Watched q, Layout layout, List<KeyRange> in) {
+        double sum = 0;
+        for (Wanted one : q.wanted) {
+            for (Slice slice : layout.meeting(one.keys)) {
+                boolean all = true;
+                for (Wanted other : q.wanted) {
+                    all &= !other.keys.meets(slice.keys()) || covered(other.keys.common(slice.keys()), in);
+                }
+                sum += all ? one.weight * one.keys.share(slice.keys()) : 0;
+            }
+        }
+        return sum;
+    }
+
+    private void breaks(Duration now, int rule, String query, String part, String what) {
+        broken.add("rule " + rule + ", query " + query + ", part " + part + ", at " + now.toMillis() + " ms: " + what);
+    }
+
+    synchronized List<String> broken() {
+        return List.copyOf(broken);
+    }
+
+    synchronized long calls() {
+        return calls;
+    }
+
+    synchronized long further() {
+        return further;
+    }
+
+    synchronized long runs() {
+        return runs;
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/rig/Stage.java
@@ -0,0 +1,187 @@
+package postbeam.rig;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import postbeam.layouts.LayoutService;
+import postbeam.router.Router;
+import postbeam.setup.Startup;
+import postbeam.slices.KeyRange;
+import postbeam.slices.MoveLimits;
+
+/** Routers, a layout service, stand-in nodes and discovery in one process, all on loopback; gives all of it back. */
+final class Stage implements Closeable {
+    /** How large; the defect is null where none is planted; without slices the routers keep the fixed rule. */
+    record Size(int nodes, int routers, int slices, int holders, boolean sliced, PlantedSlicing.Defect defect) { }
+
+    static final Referee.Rules RULES = new Referee.Rules(0.2, Duration.ofSeconds(2), 2, Duration.ofSeconds(1), 2,
+            50, 0.3, Duration.ofSeconds(2), Duration.ofMillis(1500));
+    private static final MoveLimits LIMITS = new MoveLimits(3, 2, 3, Duration.ofSeconds(2), Duration.ofSeconds(2),
+            Duration.ofMillis(300), Duration.ofMillis(100), 2, 2);
+    private static final long HISTORY = 40;
+    private static final Duration READY_MOST = Duration.ofSeconds(30);
+
+    final Referee referee = new Referee(RULES, Duration.ofSeconds(2), Duration.ofMillis(150));
+    final List<StandInNode> nodes = new ArrayList<>();
+    final List<String> routerAddresses = new ArrayList<>();
+    final UniformRandomProvider chance;
+    final StandInDiscovery discovery;
+    final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final long startNanos = System.nanoTime();
+    private final List<Router> routers = new ArrayList<>();
+    private final Path directory = Files.createTempDirectory("postbeam-trial");
+    private final LayoutService.Place place;
+    private LayoutService service;
+    private String serviceAddress;
+
+    Stage(Size size, long seed) throws IOException, InterruptedException {
+        chance = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        discovery = new StandInDiscovery();
+        Map<String, Map<KeyRange, Boolean>> runs = new ConcurrentHashMap<>();
+        for (int i = 0; i < size.nodes(); i++) {
+            StandInNode node = new StandInNode("n" + i, "z" + i % 3, new StandInNode.Seen(referee, this::now, runs),
+                    RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 1009 + i), !size.sliced());
+            nodes.add(node);
+            discovery.tell(node, "up", 0);
+        }
+        serviceAddress = freeAddress();
+        place = new LayoutService.Place(serviceAddress, directory.resolve("moves.log"), discovery.address(), HISTORY,
+                LIMITS, size.slices(), size.holders());
+        if (size.sliced()) {
+            startService();
+        }
+        for (int i = 0; i < size.routers(); i++) {
+            String address = freeAddress();
+            Router router = new Router(Startup.of(config("r" + i, "z" + i % 3, address, size)
+                    .getBytes(StandardCharsets.UTF_8)), size.sliced() ? PlantedSlicing.of(size.defect()) : null,
+                    size.sliced() ? serviceAddress : null);
+            router.start();
+            routers.add(router);
+            routerAddresses.add(address);
+        }
+        long end = System.nanoTime() + READY_MOST.toNanos();
+        for (String address : routerAddresses) {
+            while (get("http://" + address + "/healthz").statusCode() != 200) {
+                if (System.nanoTime() > end) {
+                    throw new IOException("a router did not get ready");
+                }
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + free.getLocalPort();
+        }
+    }
+
+    Duration now() {
+        return Duration.ofNanos(System.nanoTime() - startNanos);
+    }
+
+    private String config(String name, String zone, String listen, Size size) {
+        return "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
+                + "\",\"seed\":\"" + Long.toHexString(chance.nextLong()) + "\",\"limits\":{\"memory_mb\":192,"
+                + "\"sockets\":1024},\"settings\":{\"zone\":\"" + zone + "\",\"nInstances\":" + size.routers()
+                + ",\"report\":{\"how\":\"none\"},\"domain\":{\"cells\":1,\"reach\":1,\"shards\":" + size.slices()
+                + ",\"partsACall\":16,\"callCost\":1000,\"classNeed\":[0.75,1,1,1],\"leastShare\":[0.75,0.5,1,1],"
+                + "\"shortWorth\":[0.9,0.9,0,0]},\"caps\":{\"maxAttempts\":3,\"mayDuplicate\":true,\"cancelling\":true,"
+                + "\"probes\":true,\"maxStreams\":32,\"mostHeld\":2000,\"connectTimeout\":250000,"
+                + "\"keepalive\":15000000,\"maxRetryAfter\":500000},\"obligations\":{\"coldFrom\":0.2,"
+                + "\"rampTime\":2000000,\"fallMultiple\":2,\"fall\":1000000,\"stopSendingWithin\":2000000,"
+                + "\"spareAttempts\":50,\"budgetShare\":0.3,\"extraWindow\":2000000},\"classes\":["
+                + "{\"name\":\"search\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"retryable\",\"lateWorth\":0.1},"
+                + "{\"name\":\"lookup\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"retryable\",\"lateWorth\":0.1},"
+                + "{\"name\":\"book\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"dedup\",\"repeatWindow\":1500000,"
+                + "\"lateWorth\":0.1},{\"name\":\"hold\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"fragile\","
+                + "\"lateWorth\":0.1}],\"tenants\":[{\"name\":\"acme\",\"quotaPerS\":1000}]}}";
+    }
+
+    // ---- the layout service
+
+    void startService() throws IOException {
+        LayoutService next = new LayoutService(place, referee::layout);
+        next.start();
+        service = next;
+    }
+
+    /** Ends the service's process, as far as one can within this one: its log is closed, its socket too. */
+    void stopService() throws IOException {
+        if (service != null) {
+            service.close();
+            service = null;
+        }
+    }
+
+    boolean serving() {
+        return service != null;
+    }
+
+    HttpResponse<String> get(String uri) throws IOException, InterruptedException {
+        return http.send(HttpRequest.newBuilder(URI.create(uri)).timeout(Duration.ofSeconds(5)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Asks the layout service for something; the answer's text, an error's too. */
+    String post(String path, String body) throws IOException, InterruptedException {
+        return http.send(HttpRequest.newBuilder(URI.create("http://" + serviceAddress + path))
+                .timeout(Duration.ofSeconds(5)).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+                HttpResponse.BodyHandlers.ofString()).body();
+    }
+
+    String layouts() {
+        return serviceAddress;
+    }
+
+    List<String> movesSeen() {
+        return service == null ? List.of() : service.movesSeen();
+    }
+
+    @Override
+    public void close() throws IOException {
+        List<Thread> stops = new ArrayList<>();
+        for (Router router : routers) {
+            Thread stop = new Thread(() -> {
+                try {
+                    router.stop();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            stop.start();
+            stops.add(stop);
+        }
+        try {
+            for (Thread stop : stops) {
+                stop.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        stopService();
+        discovery.close();
+        nodes.forEach(StandInNode::close);
+        try (var files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/rig/StandInNode.java
@@ -0,0 +1,331 @@
+package postbeam.rig;
+
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.xnio.IoUtils;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Order;
+
+/**
+ * A data node on loopback that speaks the frames, holds slices by version, works on two parts at a time, and tells the
+ * referee all that it is sent and runs. It can be slow, hang, die, drain, and come back cold.
+ */
+final class StandInNode implements Closeable {
+    private static final int CORES = 2;
+    private static final int QUEUE = 64;
+    private static final int LONGEST = 1 << 20;
+    /** Work of a part with nothing else to do, and up to so much more by chance. */
+    static final Duration WORK = Duration.ofMillis(2);
+    private static final Duration WORK_MORE = Duration.ofMillis(3);
+    private static final Duration COPY_MOST = Duration.ofMillis(150);
+
+    /** What a stand-in tells what it sees. */
+    record Seen(Referee referee, Supplier<Duration> now, Map<String, Map<KeyRange, Boolean>> runs) { }
+
+    private record Work(Socket socket, String query, String part, KeyRange keys, HeldSlices.Held held) { }
+
+    final String name;
+    final String zone;
+    private final Seen seen;
+    private final UniformRandomProvider chance;
+    private final HeldSlices held = new HeldSlices();
+    private final Map<Integer, Long> copies = new HashMap<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final Set<String> givenUp = ConcurrentHashMap.newKeySet();
+    private final InetSocketAddress address;
+    private final ScheduledExecutorService workers;
+    private ServerSocket server;
+    private int waiting;
+    /** Ends each connection's thread of an earlier life. */
+    private int life;
+    private volatile int slowness = 1;
+    private volatile boolean hanging;
+    /** Share of parts that run and are answered with an error, and of answers that come late. */
+    private volatile double badAnswers;
+    private volatile double lateAnswers;
+    /** Whether it wants no slices held by number: it takes every call, as for a router without a layout. */
+    private final boolean unsliced;
+
+    StandInNode(String name, String zone, Seen seen, UniformRandomProvider chance, boolean unsliced)
+            throws IOException {
+        this.name = name;
+        this.zone = zone;
+        this.seen = seen;
+        this.chance = chance;
+        this.unsliced = unsliced;
+        this.workers = new ScheduledThreadPoolExecutor(CORES, run -> daemon(run, "node-" + name));
+        server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        address = (InetSocketAddress) server.getLocalSocketAddress();
+        daemon(this::accept, "node-" + name).start();
+    }
+
+    private static Thread daemon(Runnable run, String name) {
+        Thread thread = new Thread(run, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    String dial() {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private void accept() {
+        ServerSocket mine = server;
+        try {
+            while (true) {
+                Socket socket = mine.accept();
+                socket.setTcpNoDelay(true);
+                sockets.add(socket);
+                daemon(() -> serve(socket), "node-" + name).start();
+            }
+        } catch (IOException e) {
+            // Closed: it has died, or the run is over.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                int length = Integer.reverseBytes(in.readInt());
+                if (length < 1 || length > LONGEST) {
+                    throw new IOException("a frame of " + length + " bytes");
+                }
+                byte[] frame = in.readNBytes(length);
+                if (frame.length < length) {
+                    break;
+                }
+                frame(socket, (char) frame[0], new String(frame, 1, length - 1, StandardCharsets.UTF_8));
+            }
+        } catch (IOException e) {
+            // The router has gone.
+        } finally {
+            sockets.remove(socket);
+            IoUtils.safeClose(socket);
+        }
+    }
+
+    private void frame(Socket socket, char letter, String rest) throws IOException {
+        switch (letter) {
+            case 'm' -> parts(socket, rest);
+            case 'n' -> givenUp.add(rest);
+            case 'o', 'p' -> send(socket, letter + (hanging ? "bad" : "good"));
+            case 's' -> order(socket, rest);
+            default -> throw new IOException("an unknown letter");
+        }
+    }
+
+    // ---- calls
+
+    private void parts(Socket socket, String parts) throws IOException {
+        String rest = parts;
+        while (!rest.isEmpty()) {
+            int end = rest.indexOf('\n');
+            String[] words = rest.substring(0, end).split(" ");
+            rest = rest.substring(end + 1 + Integer.parseInt(words[3]));
+            long version = 0;
+            KeyRange keys = KeyRange.ALL;
+            for (String item : words[2].split(",")) {
+                if (item.startsWith("v=")) {
+                    version = Long.parseLong(item.substring(2));
+                } else if (item.startsWith("k=")) {
+                    int dash = item.indexOf('-');
+                    keys = new KeyRange(Long.parseLong(item.substring(2, dash)),
+                            Long.parseLong(item.substring(dash + 1)));
+                }
+            }
+            part(socket, words[0], Integer.parseInt(words[1]), keys, version);
+        }
+    }
+
+    private void part(Socket socket, String part, int slice, KeyRange keys, long version) throws IOException {
+        String query = part.substring(0, part.lastIndexOf('.'));
+        seen.referee().called(seen.now().get(), name, query, part, keys, version, WORK);
+        HeldSlices.Held one = null;
+        String turnedAway = null;
+        synchronized (this) {
+            if (!unsliced) {
+                one = held.take(slice, version, keys);
+                turnedAway = one == null ? "moved" : null;
+            }
+            if (turnedAway == null && waiting >= QUEUE) {
+                if (one != null) {
+                    held.over(one);
+                }
+                turnedAway = "later";
+            }
+            waiting += turnedAway == null ? 1 : 0;
+        }
+        if (turnedAway != null) {
+            seen.referee().over(query, part);
+            send(socket, "q" + part + " " + turnedAway + " 0 -\n");
+            return;
+        }
+        Work work = new Work(socket, query, part, keys, one);
+        int mine = life;
+        workers.execute(() -> work(work, mine));
+    }
+
+    private void work(Work work, int mine) {
+        try {
+            while (hanging && mine == life) {
+                Thread.sleep(5);
+            }
+            if (mine != life) {
+                return;
+            }
+            if (givenUp.remove(work.part)) {
+                over(work);
+                send(work.socket, "q" + work.part + " later 0 -\n");
+                return;
+            }
+            boolean book = work.query.contains("book");
+            boolean repeated = book && repeated(work.query, work.keys);
+            if (!repeated) {
+                seen.referee().ran(seen.now().get(), work.query, work.part, work.keys);
+            }
+            Thread.sleep(WORK.plusNanos((long) (chance() * WORK_MORE.toNanos())).multipliedBy(slowness).toMillis());
+            over(work);
+            String answer = chance() < badAnswers ? "q" + work.part + " bad 0 -\n"
+                    : "q" + work.part + " good 0 -\n" + Referee.valueOf(work.query, work.keys);
+            if (chance() < lateAnswers) {
+                workers.schedule(() -> late(work.socket, answer), (long) (chance() * 500), TimeUnit.MILLISECONDS);
+            } else {
+                send(work.socket, answer);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            IoUtils.safeClose(work.socket);
+        }
+    }
+
+    private void late(Socket socket, String answer) {
+        try {
+            send(socket, answer);
+        } catch (IOException e) {
+            IoUtils.safeClose(socket);
+        }
+    }
+
+    private void over(Work work) {
+        synchronized (this) {
+            waiting--;
+            if (work.held != null) {
+                held.over(work.held);
+            }
+        }
+        seen.referee().over(work.query, work.part);
+    }
+
+    /** What nodes hand over with a slice: which keys of a deduplicated query have run. */
+    private boolean repeated(String query, KeyRange keys) {
+        Map<KeyRange, Boolean> ran = seen.runs().computeIfAbsent(query, key -> new ConcurrentHashMap<>());
+        synchronized (ran) {
+            boolean before = ran.keySet().stream().anyMatch(keys::meets);
+            ran.put(keys, true);
+            return before;
+        }
+    }
+
+    private synchronized double chance() {
+        return chance.nextDouble();
+    }
+
+    // ---- orders
+
+    private void order(Socket socket, String line) throws IOException {
+        String[] words = line.split(" ");
+        Order order = Order.valueOf(words[0]);
+        int slice = Integer.parseInt(words[2]);
+        KeyRange keys = new KeyRange(Long.parseLong(words[3]), Long.parseLong(words[4]));
+        boolean done;
+        synchronized (this) {
+            boolean own = words[6].equals(dial());
+            long readyAt = copies.computeIfAbsent(slice,
+                    key -> System.nanoTime() + (long) (chance.nextDouble() * COPY_MOST.toNanos()));
+            boolean copied = order == Order.COPY && (own || System.nanoTime() - readyAt >= 0);
+            if (order == Order.DROP) {
+                copies.remove(slice);
+            }
+            done = !hanging && held.ordered(order, slice, keys, Long.parseLong(words[5]), copied);
+        }
+        send(socket, "s" + order + " " + words[1] + " " + slice + " " + (done ? "done" : "busy"));
+    }
+
+    private static void send(Socket socket, String frame) throws IOException {
+        byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
+        byte[] framed = ByteBuffer.allocate(Integer.BYTES + bytes.length).order(ByteOrder.LITTLE_ENDIAN)
+                .putInt(bytes.length).put(bytes).array();
+        synchronized (socket) {
+            socket.getOutputStream().write(framed);
+        }
+    }
+
+    // ---- troubles
+
+    void troubles(double bad, double late) {
+        badAnswers = bad;
+        lateAnswers = late;
+    }
+
+    void slow(int times) {
+        slowness = times;
+    }
+
+    void hang(boolean hangs) {
+        hanging = hangs;
+    }
+
+    /** Ends all connections; what it had taken ends nowhere. */
+    synchronized void die() {
+        life++;
+        IoUtils.safeClose(server);
+        for (Socket socket : sockets) {
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (IOException e) {
+                // It is closed next.
+            }
+            IoUtils.safeClose(socket);
+        }
+        waiting = 0;
+        held.forgetAll();
+        copies.clear();
+    }
+
+    /** Is back at its address, and holds what it is told. */
+    synchronized void back() throws IOException {
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(address, 200);
+        daemon(this::accept, "node-" + name).start();
+        seen.referee().nodeStarted(seen.now().get(), name);
+    }
+
+    @Override
+    public void close() {
+        die();
+        workers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/postbeam/rig/Trial.java
@@ -0,0 +1,20 @@
+package postbeam.rig;
+
+import java.util.List;
+
+/** A proof that anyone can run again with other seeds. */
+public interface Trial {
+    String name();
+
+    /** What it shows, in a line. */
+    String about();
+
+    /** Names of the defects that can be planted, each of which it must catch. */
+    List<String> defects();
+
+    /** Runs one seed with a defect or, where that is null, without. */
+    Result run(long seed, String defect);
+
+    /** Figures, a line each, and what broke; the latter empty where all rules held. */
+    record Result(List<String> figures, List<String> broken) { }
+}
--- /dev/null
+++ b/src/main/java/postbeam/rig/World.java
@@ -0,0 +1,275 @@
+package postbeam.rig;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import postbeam.roster.Entry;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Layout;
+import postbeam.slices.Slice;
+import postbeam.state.Effect;
+import postbeam.state.Readiness;
+import postbeam.state.Vertical;
+
+/**
+ * Routers, nodes, clients and the one who moves slices in one thread on a clock that jumps, every choice from one
+ * seed. The decisions are the product's own; nodes, network and clients are stand-ins. What it is for is rare
+ * meetings: answers that cross a re-cut, moves abandoned half way, a coordinator that dies at any record.
+ */
+final class World {
+    /** How large, how long and how rough. */
+    record Plan(int nodes, int routers, int slices, int holders, Duration length, double queriesASecond,
+            Duration recutEvery, boolean faults, PlantedSlicing.Defect defect) { }
+
+    private static final Duration SLO = Duration.ofSeconds(1);
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    static final Duration REPEAT_WINDOW = Duration.ofMillis(1500);
+    /** After the load, for what is open to end and moves to come to rest. */
+    private static final Duration SETTLE = Duration.ofSeconds(40);
+    /** The ways that messages take: mostly this and up to twice it. */
+    private static final Duration HOP = Duration.ofMillis(1);
+    private static final Referee.Rules RULES = new Referee.Rules(0.2, Duration.ofSeconds(4), 2, Duration.ofSeconds(1),
+            2, 20, 0.3, Duration.ofSeconds(2), REPEAT_WINDOW);
+
+    /** Any-n searches with a floor, lookups that need every part, keyed bookings, and holds that may run once. */
+    private static final List<Kind> KINDS = List.of(
+            new Kind("search", Effect.REPEATABLE, Referee.Kind.REPEATABLE, 0.75, 0.75),
+            new Kind("lookup", Effect.REPEATABLE, Referee.Kind.REPEATABLE, 1, 0.5),
+            new Kind("book", Effect.DEDUPLICATED, Referee.Kind.DEDUPLICATED, 1, 1),
+            new Kind("hold", Effect.SIDE_EFFECTING, Referee.Kind.SIDE_EFFECTING, 1, 1));
+
+    record Kind(String name, Effect effect, Referee.Kind promise, double need, double floor) {
+        Vertical vertical() {
+            return new Vertical(SLO, effect, REPEAT_WINDOW, 1, 0.1, need, floor, 0.9, 0);
+        }
+    }
+
+    private record Event(Duration at, long number, Runnable what) { }
+
+    final Plan plan;
+    final UniformRandomProvider chance;
+    final Referee referee = new Referee(RULES, Duration.ofMillis(500), Duration.ofMillis(60));
+    final List<VirtualNode> nodes = new ArrayList<>();
+    final List<VirtualRouter> routers = new ArrayList<>();
+    final VirtualMoves moves;
+    final List<Layout> told = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparing(Event::at).thenComparingLong(Event::number));
+    private long eventCount;
+    private long listVersion;
+    private Duration now = Duration.ZERO;
+    private boolean troubled;
+    private int asked;
+    private int good;
+
+    World(Plan plan, long seed) {
+        this.plan = plan;
+        this.chance = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        for (int i = 0; i < plan.nodes(); i++) {
+            nodes.add(new VirtualNode(this, "n" + i, "z" + i % 3));
+        }
+        moves = new VirtualMoves(this, Layout.first(plan.slices(), nodes.stream().map(node -> node.name).toList(),
+                plan.holders()));
+        for (int i = 0; i < plan.routers(); i++) {
+            routers.add(new VirtualRouter(this, "r" + i, "z" + i % 3, PlantedSlicing.of(plan.defect()),
+                    seed * 31 + i));
+        }
+    }
+
+    static Referee.Rules rules() {
+        return RULES;
+    }
+
+    static List<Kind> kinds() {
+        return KINDS;
+    }
+
+    // ---- the clock
+
+    Duration now() {
+        return now;
+    }
+
+    void after(Duration wait, Runnable what) {
+        events.add(new Event(now.plus(wait), eventCount++, what));
+    }
+
+    /** A message's way, and then this. */
+    void hop(Runnable what) {
+        after(HOP.plusNanos((long) (chance.nextDouble() * HOP.toNanos())), what);
+    }
+
+    Duration upTo(Duration most) {
+        return Duration.ofNanos((long) (chance.nextDouble() * most.toNanos()));
+    }
+
+    boolean with(double probability) {
+        return chance.nextDouble() < probability;
+    }
+
+    /** Troubles come while the load does. */
+    boolean troubled() {
+        return troubled;
+    }
+
+    // ---- the run
+
+    /** What was found, a line each; empty where all rules held. */
+    List<String> run() {
+        troubled = plan.faults();
+        listed();
+        moves.start();
+        after(Duration.ofMillis(300), this::nextQuery);
+        after(plan.recutEvery(), this::nextRecut);
+        if (troubled) {
+            after(upTo(Duration.ofSeconds(2)), this::nextTrouble);
+        }
+        Duration end = plan.length().plus(SETTLE);
+        boolean calm = false;
+        while (!events.isEmpty() && events.peek().at().compareTo(end) < 0) {
+            Event next = events.poll();
+            now = next.at();
+            if (!calm && now.compareTo(plan.length()) > 0) {
+                calm = true;
+                calm();
+            }
+            next.what().run();
+            if (!referee.broken().isEmpty()) {
+                return referee.broken();
+            }
+        }
+        now = end;
+        referee.end(now);
+        List<String> found = new ArrayList<>(referee.broken());
+        found.addAll(moves.unsettled());
+        for (VirtualRouter router : routers) {
+            found.addAll(router.leftOver());
+        }
+        return found;
+    }
+
+    /** No new trouble, and the old ones end. */
+    private void calm() {
+        troubled = false;
+        nodes.forEach(VirtualNode::recover);
+        moves.recover();
+        listed();
+    }
+
+    int asked() {
+        return asked;
+    }
+
+    int good() {
+        return good;
+    }
+
+    // ---- the list
+
+    /** Tells all routers and the coordinator of the nodes, each on its own way. */
+    void listed() {
+        List<Entry> entries = nodes.stream().map(node -> new Entry(node.name, node.zone, 0,
+                node.startedAt == null ? 0 : Math.max(1, node.startedAt.toNanos() / 1000), node.readiness)).toList();
+        long version = ++listVersion;
+        routers.forEach(router -> hop(() -> router.listed(version, entries)));
+        hop(() -> moves.listed(version, entries));
+    }
+
+    // ---- layouts
+
+    void published(Layout layout) {
+        told.add(layout);
+        referee.layout(layout);
+        for (VirtualRouter router : routers) {
+            Duration late = with(0.1) ? upTo(Duration.ofSeconds(2)) : upTo(Duration.ofMillis(40));
+            after(late, () -> router.laidOut(layout));
+            if (told.size() > 2 && with(0.1)) {
+                Layout old = told.get(chance.nextInt(told.size() - 1));
+                after(late.plus(upTo(Duration.ofSeconds(1))), () -> router.laidOut(old));
+            }
+        }
+    }
+
+    // ---- clients
+
+    private void nextQuery() {
+        if (now.compareTo(plan.length()) > 0) {
+            return;
+        }
+        after(Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / plan.queriesASecond() * 1e9)),
+                this::nextQuery);
+        VirtualRouter router = routers.get(chance.nextInt(routers.size()));
+        Kind kind = KINDS.get(chance.nextInt(KINDS.size()));
+        int back = with(0.4) ? 0 : chance.nextInt(8);
+        Layout layout = told.get(Math.max(0, told.size() - 1 - back));
+        List<Slice> slices = layout.slices();
+        int first = chance.nextInt(slices.size());
+        int count = Math.min(slices.size() - first, 1 + chance.nextInt(8));
+        // Sometimes with a hole, so that neighbours of what is asked stay unasked.
+        List<Slice> named = new ArrayList<>(slices.subList(first, first + count));
+        if (named.size() > 2 && with(0.3)) {
+            named.remove(1 + chance.nextInt(named.size() - 2));
+        }
+        Map<Slice, Double> weights = new LinkedHashMap<>();
+        named.forEach(slice -> weights.put(slice, 0.2 + chance.nextDouble()));
+        double sum = weights.values().stream().mapToDouble(Double::doubleValue).sum();
+        List<Referee.Wanted> wanted = weights.entrySet().stream().map(entry -> new Referee.Wanted(
+                entry.getKey().number(), entry.getKey().keys(), entry.getValue() / sum)).toList();
+        String id = router.name + "q" + asked++;
+        Duration until = now.plus(PATIENCE);
+        referee.asked(now, id, router.name, kind.promise(), kind.need(), kind.floor(), layout.version, wanted, until);
+        hop(() -> router.take(id, kind, layout.version, wanted, until));
+    }
+
+    /** A query is over for its client, in time for its SLO or not. */
+    void over(boolean answered, Duration askedAt) {
+        good += answered && now.minus(askedAt).compareTo(SLO) <= 0 ? 1 : 0;
+    }
+
+    // ---- re-cuts and troubles
+
+    private void nextRecut() {
+        if (now.compareTo(plan.length()) > 0) {
+            return;
+        }
+        after(upTo(plan.recutEvery().multipliedBy(2)), this::nextRecut);
+        moves.recut();
+    }
+
+    private void nextTrouble() {
+        if (!troubled) {
+            return;
+        }
+        after(upTo(Duration.ofSeconds(3)), this::nextTrouble);
+        VirtualNode node = nodes.get(chance.nextInt(nodes.size()));
+        switch (chance.nextInt(7)) {
+            case 0 -> node.crash(upTo(Duration.ofSeconds(3)));
+            case 1 -> node.slow(1 + chance.nextInt(30), upTo(Duration.ofSeconds(2)));
+            case 2 -> node.hang(upTo(Duration.ofSeconds(2)));
+            case 3 -> node.drain(upTo(Duration.ofSeconds(4)));
+            case 4 -> moves.crash(upTo(Duration.ofSeconds(3)));
+            case 5 -> moves.crashAtARecord(1 + chance.nextInt(6), upTo(Duration.ofMillis(800)));
+            default -> moves.abandonOne();
+        }
+    }
+
+    /** A key somewhere in the middle of these. */
+    long within(KeyRange keys) {
+        return keys.from() + 1 + (long) (chance.nextDouble() * (keys.size() - 1));
+    }
+
+    VirtualNode node(String name) {
+        return nodes.stream().filter(node -> node.name.equals(name)).findFirst().orElse(null);
+    }
+
+    /** Nodes that are there and want work. */
+    List<String> ready() {
+        return nodes.stream().filter(node -> node.readiness == Readiness.READY).map(node -> node.name).toList();
+    }
+}
--- a/src/main/java/postbeam/router/Asked.java
+++ b/src/main/java/postbeam/router/Asked.java
@@ -3,13 +3,21 @@
 import java.time.Duration;
 import java.util.List;
 
-/** A query as its client asked it; the patience counts from when its first byte was seen. */
-public record Asked(String id, String vertical, String owner, Duration patience, List<AskedPart> parts, byte[] text) {
+/**
+ * A query as its client asked it; the patience counts from when its first byte was seen. The layout is the version by
+ * which it names its shards, 0 where it names none.
+ */
+public record Asked(String id, String vertical, String owner, Duration patience, List<AskedPart> parts, byte[] text,
+        long layout) {
+    public Asked(String id, String vertical, String owner, Duration patience, List<AskedPart> parts, byte[] text) {
+        this(id, vertical, owner, patience, parts, text, 0);
+    }
+
     /** One shard's part: its share of the answer and, where a guess came, its work. */
     public record AskedPart(int shard, double weight, Duration work) { }
 
     /** The same, with a client of no more patience than this. */
     public Asked within(Duration most) {
-        return patience.compareTo(most) <= 0 ? this : new Asked(id, vertical, owner, most, parts, text);
+        return patience.compareTo(most) <= 0 ? this : new Asked(id, vertical, owner, most, parts, text, layout);
     }
 }
--- a/src/main/java/postbeam/router/Call.java
+++ b/src/main/java/postbeam/router/Call.java
@@ -10,13 +10,16 @@
     public final String id;
     public final int shard;
     public final byte[] text;
+    /** What a data node is told beside how long is waited; empty but where slices move. */
+    private final String more;
     private final long untilNanos;
     private volatile boolean over;
 
-    Call(LeafCall leaf, String queryId, byte[] text, long untilNanos) {
+    Call(LeafCall leaf, String id, String more, byte[] text, long untilNanos) {
         this.leaf = leaf;
         this.shard = leaf.part.shard;
-        this.id = queryId + "." + shard;
+        this.id = id;
+        this.more = more;
         this.text = text;
         this.untilNanos = untilNanos;
     }
@@ -37,6 +40,6 @@
 
     /** The first bytes that stand for it in a frame, up to its text. */
     public byte[] head() {
-        return (id + " " + shard + " d=" + millisLeft() + " " + text.length + "\n").getBytes(StandardCharsets.UTF_8);
+        return (id + " " + shard + " d=" + millisLeft() + more + " " + text.length + "\n").getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -19,8 +19,16 @@
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
 import postbeam.setup.Info;
+import postbeam.slices.Asking;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Layout;
+import postbeam.slices.Piece;
+import postbeam.slices.Pin;
+import postbeam.slices.Slicing;
+import postbeam.slices.Unroutable;
 import postbeam.state.Customer;
 import postbeam.state.DataNode;
+import postbeam.state.Fleet;
 import postbeam.state.LeafCall;
 import postbeam.state.Outcome;
 import postbeam.state.Part;
@@ -54,6 +62,7 @@
     private final Map<String, Customer> customers;
     private final Roster roster;
     private final Decide decide;
+    private final Slicing slicing;
     private final int partsACall;
     private final Duration probeWithin;
     private final Map<DataNode, String> addresses = new IdentityHashMap<>();
@@ -75,19 +84,28 @@
     private final Map<DataNode, List<Call>> sends = new LinkedHashMap<>();
     private final List<LeafCall> calledOff = new ArrayList<>();
 
-    public Decisions(Info settings, long seed, int partsACall, Duration probeWithin) {
+    /** The slicing is null where shards stay where the fixed rule puts them. */
+    public Decisions(Info settings, long seed, int partsACall, Duration probeWithin, Slicing slicing) {
         this.verticals = Assembly.verticals(settings);
         this.customers = Assembly.customers(settings);
         this.roster = new Roster(settings.text("zone"));
         this.partsACall = partsACall;
         this.probeWithin = probeWithin;
-        this.decide = Assembly.decide(this, new Random(seed), Assembly.fleet(settings), settings);
+        this.slicing = slicing;
+        if (slicing != null) {
+            slicing.holders().know(roster::name, at -> at.minus(Duration.ofNanos(startUnixMicros * 1000)));
+        }
+        this.decide = Assembly.decide(this, new Random(seed),
+                slicing == null ? Assembly.fleet(settings) : new Fleet(slicing.holders()), settings);
     }
 
     // ---- for the threads that serve queries
 
-    /** Takes a query so long after its first byte was seen; null where one of that id is still open. */
-    public OpenQuery take(Asked asked, Duration age) {
+    /**
+     * Takes a query so long after its first byte was seen; null where one of that id is still open. An Unroutable
+     * says why its slices can't be found; nothing is kept of it then.
+     */
+    public OpenQuery take(Asked asked, Duration age) throws Unroutable {
         lock.lock();
         try {
             if (open.containsKey(asked.id())) {
@@ -96,14 +114,21 @@
             Duration now = now();
             Query query = new Query(verticals.get(asked.vertical()), customers.get(asked.owner()), now,
                     now.plus(asked.patience()).minus(age));
+            if (slicing != null) {
+                slicing.take(query, asked.layout(), asked.parts().stream()
+                        .map(part -> new Asking(part.shard(), part.weight(), part.work())).toList());
+            }
             OpenQuery q = new OpenQuery(asked, query, lock.newCondition());
             open.put(asked.id(), q);
             byQuery.put(query, q);
             turn(q, now, () -> {
                 decide.queryArrived(now, query);
-                for (Asked.AskedPart part : asked.parts()) {
-                    decide.partArrived(now, new Part(query, part.shard(), part.weight(), part.work()));
+                if (slicing == null) {
+                    for (Asked.AskedPart part : asked.parts()) {
+                        new Part(query, part.shard(), part.weight(), part.work());
+                    }
                 }
+                query.parts.forEach(part -> decide.partArrived(now, part));
             });
             return q;
         } finally {
@@ -193,6 +218,25 @@
         }
     }
 
+    /** A version of the layout; one that goes back is passed over. */
+    public void laidOut(Layout next) {
+        lock.lock();
+        try {
+            long before = slicing.refused();
+            turn(null, now(), () -> {
+                if (slicing.told(next)) {
+                    byQuery.keySet().forEach(slicing::recut);
+                }
+            });
+            if (slicing.refused() > before) {
+                LOG.log(System.Logger.Level.WARNING, "layout {0} is refused: version {1} is held", next.version,
+                        slicing.held().version);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Waits until time or a turn brings something to do that belongs to no query's thread. */
     public List<Step> tick() throws InterruptedException {
         lock.lockInterruptibly();
@@ -388,6 +432,19 @@
             timers.remove(ended.timer());
             ended.call().end();
             decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended);
+            if (slicing != null) {
+                recut(leaf, outcome);
+            }
+        }
+    }
+
+    private void recut(LeafCall leaf, Outcome outcome) {
+        if (outcome == Outcome.MOVED) {
+            slicing.left(leaf.part, leaf.node);
+            after(now().plus(Slicing.LEFT_FOR), () -> slicing.forgiven(leaf.part.shard, leaf.node));
+        }
+        if (byQuery.containsKey(leaf.part.query)) {
+            slicing.recut(leaf.part.query);
         }
     }
 
@@ -417,7 +474,14 @@
         if (leaf.timeout != null && leaf.sentAt.plus(leaf.timeout).compareTo(until) < 0) {
             until = leaf.sentAt.plus(leaf.timeout);
         }
-        Call call = new Call(leaf, q.asked.id(), q.asked.text(), startNanos + until.toNanos());
+        String id = q.asked.id() + "." + leaf.part.shard;
+        String more = "";
+        if (slicing != null) {
+            KeyRange keys = ((Piece) leaf.part).keys;
+            id += "-" + Long.toHexString(keys.from());
+            more = ",v=" + slicing.held().version + ",k=" + keys;
+        }
+        Call call = new Call(leaf, id, more, q.asked.text(), startNanos + until.toNanos());
         q.calls.add(call);
         sends.computeIfAbsent(leaf.node, node -> new ArrayList<>()).add(call);
         out.put(leaf, new Out(call, after(until, () -> timedOut(leaf))));
@@ -437,12 +501,22 @@
     public void answer(Query query, boolean whole) {
         OpenQuery q = byQuery.get(query);
         List<Step.Value> values = new ArrayList<>();
+        if (slicing != null) {
+            Pin pin = slicing.pinOf(query);
+            Pin.Counted counted = pin.counted(query);
+            for (Piece piece : counted.pieces()) {
+                values.add(new Step.Value(piece.shard, q.values.get(piece), new Step.Cover(piece.keys.from(),
+                        piece.keys.to(), pin.namesOf(piece.keys))));
+            }
+            finish(q, new Step.Answer(whole, values, counted.version()));
+            return;
+        }
         for (Part part : query.parts) {
             if (part.merged) {
-                values.add(new Step.Value(part.shard, q.values.get(part)));
+                values.add(new Step.Value(part.shard, q.values.get(part), null));
             }
         }
-        finish(q, new Step.Answer(whole, values));
+        finish(q, new Step.Answer(whole, values, 0));
     }
 
     @Override
--- a/src/main/java/postbeam/router/Rehearsal.java
+++ b/src/main/java/postbeam/router/Rehearsal.java
@@ -11,6 +11,7 @@
 import postbeam.clients.ClientDoor;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
+import postbeam.slices.Unroutable;
 import postbeam.state.Outcome;
 import postbeam.state.Readiness;
 
@@ -64,8 +65,8 @@
             for (int part = 0; part < count; part++) {
                 parts.add(new Asked.AskedPart((i + part) % shards, 1.0 / count, null));
             }
-            OpenQuery q = decisions.take(new Asked("r" + i, verticals.get(i % verticals.size()), owner, PATIENCE, parts,
-                    VALUE), Duration.ZERO);
+            OpenQuery q = take(new Asked("r" + i, verticals.get(i % verticals.size()), owner, PATIENCE, parts, VALUE),
+                    Duration.ZERO);
             if (q != null) {
                 open.add(q);
             }
@@ -120,7 +121,11 @@
 
     @Override
     public OpenQuery take(Asked asked, Duration age) {
-        return decisions.take(asked, age);
+        try {
+            return decisions.take(asked, age);
+        } catch (Unroutable e) {
+            throw new IllegalStateException("no slices move in a rehearsal", e);
+        }
     }
 
     @Override
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -20,11 +20,16 @@
 import postbeam.clients.ClientDoor;
 import postbeam.datanodes.DataNodes;
 import postbeam.discovery.ListForm;
+import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
+import postbeam.layouts.LayoutWatch;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
 import postbeam.setup.Info;
 import postbeam.setup.Startup;
+import postbeam.slices.Layout;
+import postbeam.slices.Slicing;
+import postbeam.slices.Unroutable;
 
 /** One query router: wires its parts, starts them and stops them. */
 public final class Router implements ClientDoor.Queries {
@@ -59,14 +64,24 @@
     private final Rehearsal rehearsal;
     private final ClientDoor rehearsalDoor;
     private Startup held;
-    private Watch watch;
+    private LongPoll<Told> watch;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
     private final Duration servesOn;
+    private final boolean sliced;
+    /** Null where no slices move. */
+    private final LongPoll<Layout> layoutWatch;
+    private volatile boolean listed;
+    private volatile boolean laidOut;
     private volatile boolean ready;
 
     public Router(Startup startup) throws IOException {
+        this(startup, null, null);
+    }
+
+    /** Where slices move: what makes of the layout what it decides, and where the layout is told. */
+    public Router(Startup startup, Slicing slicing, String layouts) throws IOException {
         check(startup);
         Info settings = startup.settings;
         String listen = startup.address("listen");
@@ -80,10 +95,14 @@
         for (int i = 0; i < settings.count("classes"); i++) {
             usualWaits.put(settings.needed("classes." + i + ".name"), settings.span("classes." + i + ".deadline"));
         }
-        int shards = settings.atLeast("domain.shards", 1);
+        // Where slices move, the layout knows which there are.
+        int shards = slicing == null ? settings.atLeast("domain.shards", 1) : Integer.MAX_VALUE;
+        int rehearsedShards = settings.atLeast("domain.shards", 1);
         Set<String> owners = Assembly.customers(settings).keySet();
         int partsACall = settings.atLeast("domain.partsACall", 1);
-        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin);
+        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing);
+        sliced = slicing != null;
+        layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut) : null;
         cells = settings.atLeast("domain.cells", 1);
         if (startup.known() != null) {
             listed(ListForm.read(startup.known(), cells));
@@ -95,12 +114,12 @@
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 owners, shards, clientsMost);
-        rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin),
+        rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin, null),
                 settings.text("zone"), cells, List.copyOf(usualWaits.keySet()), owners.stream().findFirst().orElse(null),
-                shards);
-        rehearsalDoor = new ClientDoor(worker, null, rehearsal, usualWaits, owners, shards, 1);
+                rehearsedShards);
+        rehearsalDoor = new ClientDoor(worker, null, rehearsal, usualWaits, owners, rehearsedShards, 1);
         held = startup;
-        watch = new Watch(discovery, cells, this::listed);
+        watch = Watch.of(discovery, cells, this::listed);
         servesOn = usualWaits.values().stream().filter(Objects::nonNull).reduce(SERVES_ON,
                 (a, b) -> a.compareTo(b) > 0 ? a : b);
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
@@ -138,7 +157,14 @@
 
     private void listed(Told told) {
         decisions.listed(told);
-        ready |= !told.entries().isEmpty();
+        listed |= !told.entries().isEmpty();
+        ready = listed && (!sliced || laidOut);
+    }
+
+    private void laidOut(Layout layout) {
+        decisions.laidOut(layout);
+        laidOut = true;
+        ready = listed;
     }
 
     /** Starts to serve; an IOException says why it can't listen. */
@@ -147,6 +173,9 @@
         synchronized (this) {
             thread("discovery", watch);
         }
+        if (layoutWatch != null) {
+            thread("layouts", layoutWatch);
+        }
         LOG.log(System.Logger.Level.DEBUG, "rehearsed with {0} queries", rehearsal.run());
         rehearsalDoor.rehearse(rehearsal::request, REHEARSED, REHEARSAL_MOST);
         rehearsalDoor.stop();
@@ -174,7 +203,7 @@
         boolean moved = !discovery.equals(held.address("discovery"));
         if (moved && stopped.getCount() > 0) {
             watch.stop();
-            watch = new Watch(discovery, cells, this::listed);
+            watch = Watch.of(discovery, cells, this::listed);
             thread("discovery", watch);
         }
         held = startup;
@@ -240,7 +269,7 @@
     }
 
     @Override
-    public OpenQuery take(Asked asked, Duration age) {
+    public OpenQuery take(Asked asked, Duration age) throws Unroutable {
         return decisions.take(asked, age);
     }
 
@@ -288,6 +317,9 @@
         synchronized (this) {
             watch.stop();
         }
+        if (layoutWatch != null) {
+            layoutWatch.stop();
+        }
         clients.stop();
         worker.shutdownNow();
     }
--- a/src/main/java/postbeam/router/Step.java
+++ b/src/main/java/postbeam/router/Step.java
@@ -14,8 +14,8 @@
     /** Asks a node how it is. */
     record Probe(String node, String address) implements Step { }
 
-    /** Answers from these parts. */
-    record Answer(boolean whole, List<Value> values) implements Step { }
+    /** Answers from these parts; the layout is the version whose slices they make whole, 0 where none moves. */
+    record Answer(boolean whole, List<Value> values, long layout) implements Step { }
 
     /** Says that asking again is harmless, after a wait if it is above zero. */
     record Reject(Duration comeBack) implements Step { }
@@ -27,5 +27,8 @@
     record Over() implements Step { }
 
     /** What a data node gave for a shard. */
-    record Value(int shard, byte[] text) { }
+    record Value(int shard, byte[] text, Cover cover) { }
+
+    /** Which keys a value is for, from one up to another, and which of the slices that the client named they are in. */
+    record Cover(long from, long to, List<Integer> named) { }
 }
--- a/src/main/java/postbeam/setup/Json.java
+++ b/src/main/java/postbeam/setup/Json.java
@@ -1,6 +1,7 @@
 package postbeam.setup;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
@@ -61,6 +62,32 @@
         };
     }
 
+    /** Writes what {@link #object} reads. */
+    public static void write(JsonGenerator json, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            json.writeStartObject();
+            for (Map.Entry<?, ?> member : map.entrySet()) {
+                json.writeFieldName(String.valueOf(member.getKey()));
+                write(json, member.getValue());
+            }
+            json.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            json.writeStartArray();
+            for (Object one : list) {
+                write(json, one);
+            }
+            json.writeEndArray();
+        } else if (value instanceof Boolean truth) {
+            json.writeBoolean(truth);
+        } else if (value instanceof Number number) {
+            json.writeNumber(number.toString());
+        } else if (value == null) {
+            json.writeNull();
+        } else {
+            json.writeString(value.toString());
+        }
+    }
+
     /** The member as a map, a list, a string or a number; an IOException names it where it is something else. */
     public static <T> T member(Map<?, ?> object, String name, Class<T> kind) throws IOException {
         Object value = object.get(name);
--- a/src/main/java/postbeam/setup/Startup.java
+++ b/src/main/java/postbeam/setup/Startup.java
@@ -35,6 +35,11 @@
         } catch (IOException e) {
             throw new IOException("can't be read (" + e.getClass().getSimpleName() + ")", e);
         }
+        return of(bytes);
+    }
+
+    /** From the file's bytes. */
+    public static Startup of(byte[] bytes) throws IOException {
         Map<String, Object> told = Json.object(bytes);
         FROM_ENVIRONMENT.forEach((key, variable) -> {
             if (System.getenv(variable) != null) {
--- /dev/null
+++ b/src/main/java/postbeam/slices/Planner.java
@@ -0,0 +1,72 @@
+package postbeam.slices;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Which changes bring a layout towards a target. It is asked again after each that is done, so it needs no memory,
+ * and a move that was abandoned is planned again. First slices are cut where the target has an edge, then pieces go
+ * to the nodes that are to hold them, last those that belong together are joined: copies are of pieces no larger
+ * than needed, and joined is only what the same nodes hold.
+ */
+public final class Planner {
+    private Planner() {}
+
+    /** Changes that can be made now, each about slices of its own and none of those that are busy. */
+    public static List<Change> next(Layout layout, Target target, Set<Integer> busy) {
+        List<Change> changes = new ArrayList<>();
+        int at = 0;
+        List<Target.Wanted> wanted = target.slices();
+        List<Slice> ready = new ArrayList<>();
+        for (Slice slice : layout.slices()) {
+            while (wanted.get(at).keys().to() <= slice.keys().from()) {
+                at++;
+                ready.clear();
+            }
+            Target.Wanted here = wanted.get(at);
+            if (busy.contains(slice.number())) {
+                continue;
+            }
+            if (slice.keys().to() > here.keys().to()) {
+                changes.add(new Change.Split(slice.number(), cuts(slice, wanted, at)));
+                continue;
+            }
+            Change step = towards(slice, here.nodes());
+            if (step != null) {
+                changes.add(step);
+                continue;
+            }
+            ready.add(slice);
+            if (ready.size() > 1 && ready.get(0).keys().from() == here.keys().from()
+                    && slice.keys().to() == here.keys().to() && touching(ready)) {
+                changes.add(new Change.Merge(ready.stream().map(Slice::number).toList()));
+            }
+        }
+        return changes;
+    }
+
+    private static List<Long> cuts(Slice slice, List<Target.Wanted> wanted, int at) {
+        List<Long> cuts = new ArrayList<>();
+        for (int i = at; i < wanted.size() && wanted.get(i).keys().to() < slice.keys().to(); i++) {
+            cuts.add(wanted.get(i).keys().to());
+        }
+        return cuts;
+    }
+
+    /** Null where these nodes hold it. New holders come before old ones are let go. */
+    private static Change towards(Slice slice, List<String> nodes) {
+        String missing = nodes.stream().filter(node -> !slice.heldBy(node)).findFirst().orElse(null);
+        String extra = slice.nodes().stream().filter(node -> !nodes.contains(node)).findFirst().orElse(null);
+        return missing == null && extra == null ? null : new Change.Move(slice.number(), extra, missing);
+    }
+
+    private static boolean touching(List<Slice> slices) {
+        for (int i = 1; i < slices.size(); i++) {
+            if (slices.get(i - 1).keys().to() != slices.get(i).keys().from()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -16,6 +16,8 @@
 
     /** What it was lately sent, in seconds of work; set up by the one who measures. */
     public TimeRing workSent;
+    /** The same for shards it has lately taken over from others; null until there are such. */
+    public TimeRing takenSent;
     /** Drawn from 0 to 1 when it was first listed; set up by the one who measures. */
     public double lot;
     /** Smoothed time of its answers beside the quiet time of their vertical; 0 before the first. */
--- a/src/main/java/postbeam/state/Fleet.java
+++ b/src/main/java/postbeam/state/Fleet.java
@@ -1,7 +1,6 @@
 package postbeam.state;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,46 +8,34 @@
 
 /** The data nodes on this router's list, which of them hold a shard, and which answered last. */
 public final class Fleet {
-    private final List<List<DataNode>> cells = new ArrayList<>();
-    /** The holders of a cell's shards, in order; null after a change. */
-    private final List<List<DataNode>> holders = new ArrayList<>();
+    private final Holders holders;
     private final Set<DataNode> nodes = new LinkedHashSet<>();
     /** Those that have answered, the latest last. */
     private final LinkedHashSet<DataNode> answered = new LinkedHashSet<>();
-    private Comparator<DataNode> order;
-    /** How many cells in a row hold a shard. */
-    public final int reach;
 
+    /** Shards are held by the fixed rule. */
     public Fleet(int cellCount, int reach) {
-        for (int i = 0; i < cellCount; i++) {
-            cells.add(new ArrayList<>());
-            holders.add(null);
-        }
-        this.reach = reach;
+        this(new Cells(cellCount, reach));
+    }
+
+    public Fleet(Holders holders) {
+        this.holders = holders;
     }
 
-    /** The order of replica lists; nodes that it holds equal stand in the order of cells and of listing. */
+    /** The order of replica lists; nodes that it holds equal stand in the order of the source. */
     public void order(Comparator<DataNode> order) {
-        this.order = order;
+        holders.order(order);
     }
 
     public void add(DataNode node) {
-        cells.get(node.cell).add(node);
         nodes.add(node);
-        changed(node);
+        holders.add(node);
     }
 
     public void remove(DataNode node) {
-        cells.get(node.cell).remove(node);
         nodes.remove(node);
         answered.remove(node);
-        changed(node);
-    }
-
-    private void changed(DataNode node) {
-        for (int j = 0; j < reach; j++) {
-            holders.set(Math.floorMod(node.cell - j, cells.size()), null);
-        }
+        holders.remove(node);
     }
 
     public int size() {
@@ -77,18 +64,16 @@
 
     /** The nodes that hold the shard, as a list that is not to be changed. */
     public List<DataNode> replicas(int shard) {
-        int cell = shard % cells.size();
-        List<DataNode> found = holders.get(cell);
-        if (found == null) {
-            found = new ArrayList<>();
-            for (int j = 0; j < reach; j++) {
-                found.addAll(cells.get((cell + j) % cells.size()));
-            }
-            if (order != null) {
-                found.sort(order);
-            }
-            holders.set(cell, found);
-        }
-        return found;
+        return holders.replicas(shard);
+    }
+
+    /** How many nodes hold a shard. */
+    public int reach() {
+        return holders.reach();
+    }
+
+    /** When this node took the shard over from another; null: not known, or long ago. */
+    public Duration tookAt(int shard, DataNode node) {
+        return holders.tookAt(shard, node);
     }
 }
--- a/src/main/java/postbeam/state/Part.java
+++ b/src/main/java/postbeam/state/Part.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** The part of a query that one shard answers. */
-public final class Part {
+public class Part {
     public final Query query;
     public final int shard;
     public final double weight;
@@ -28,6 +28,15 @@
         query.parts.add(this);
     }
 
+    /** This part stands for keys of the other, which is over: what may have run there may have run here. */
+    public void inherit(Part other) {
+        calls.addAll(other.calls);
+        closed |= other.closed;
+        if (other.mayHaveRunSince != null) {
+            mayHaveRun(other.mayHaveRunSince);
+        }
+    }
+
     /** A leaf call sent then may have run. */
     public void mayHaveRun(Duration sentAt) {
         if (mayHaveRunSince == null || mayHaveRunSince.compareTo(sentAt) > 0) {
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -22,6 +22,8 @@
     /** 1 or 2; the second step's parts come after the first is answered. */
     public int step = 1;
     public boolean ended;
+    /** How weights count where slices are re-cut; null: each part counts by itself. */
+    public Counting counting;
     /** It came beyond its customer's share. */
     public boolean overShare;
 
@@ -37,9 +39,17 @@
     }
 
     public double mergedWeight() {
+        return weightOf(part -> part.merged);
+    }
+
+    /** The weight that such parts make together. */
+    public double weightOf(Predicate<Part> which) {
+        if (counting != null) {
+            return counting.weight(this, which);
+        }
         double sum = 0;
         for (Part part : parts) {
-            if (part.merged) {
+            if (which.test(part)) {
                 sum += part.weight;
             }
         }
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -350,7 +350,7 @@
         fleet.add(node);
         node.lot = 0.01;
         assertTrue(cold.allows(ms(10), node, ms(80), fleet));
-        cold.sent(ms(10), node, ms(80));
+        cold.sent(ms(10), node, null, ms(80));
         assertFalse(cold.allows(ms(500), node, ms(80), fleet));
         node.lot = 0.99;
         assertFalse(cold.allows(ms(2000), node, ms(80), fleet));
--- /dev/null
+++ b/src/test/java/postbeam/rig/LayoutsIT.java
@@ -0,0 +1,169 @@
+package postbeam.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.Proxy;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The built program as an operator runs it: the layout service, its commands, a service killed and started again. */
+class LayoutsIT {
+    private static final Duration LONG = Duration.ofSeconds(20);
+
+    @TempDir
+    private Path dir;
+    private final List<StandInNode> nodes = new ArrayList<>();
+    private StandInDiscovery discovery;
+    private Process service;
+    private String settings;
+
+    @BeforeEach
+    void stage() throws IOException {
+        discovery = new StandInDiscovery();
+        Referee referee = new Referee(Stage.RULES, LONG, LONG);
+        for (int i = 0; i < 4; i++) {
+            StandInNode node = new StandInNode("n" + i, "z" + i % 2, new StandInNode.Seen(referee, () -> Duration.ZERO,
+                    new ConcurrentHashMap<>()), RandomSource.XO_RO_SHI_RO_128_PP.create(i), false);
+            nodes.add(node);
+            discovery.tell(node, "up", 0);
+        }
+        String listen;
+        try (var free = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+            listen = "127.0.0.1:" + free.getLocalPort();
+        }
+        String file = Files.readString(Path.of("deploy/postbeam.json5")).replace("enabled: false", "enabled: true")
+                .replace("127.0.0.1:7080", listen).replace("127.0.0.1:8500", discovery.address())
+                .replace("\"moves.log\"", "\"" + dir.resolve("moves.log") + "\"").replace("firstSlices: 64", "firstSlices: 4")
+                .replace("firstHolders: 3", "firstHolders: 2").replace("holders: 3", "holders: 2")
+                .replace("restMs: 30000", "restMs: 0").replace("againMs: 1000", "againMs: 50");
+        settings = Files.writeString(dir.resolve("own.json5"), file).toString();
+    }
+
+    @AfterEach
+    void giveBack() throws InterruptedException {
+        if (service != null) {
+            service.destroyForcibly().waitFor();
+        }
+        discovery.close();
+        nodes.forEach(StandInNode::close);
+    }
+
+    private static List<String> java(String... words) {
+        List<String> command = new ArrayList<>(List.of("java", "-jar", "target/postbeam.jar"));
+        command.addAll(List.of(words));
+        return command;
+    }
+
+    private void serve() throws IOException {
+        service = new ProcessBuilder(java("layouts", "serve", "--settings", settings)).redirectErrorStream(true)
+                .redirectOutput(dir.resolve("service.txt").toFile()).start();
+    }
+
+    /** The status, a space, and what was said. */
+    private String layouts(String... words) throws IOException, InterruptedException {
+        List<String> command = java("layouts");
+        command.addAll(List.of(words));
+        command.addAll(List.of("--settings", settings));
+        Process asked = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String said = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+        return asked.waitFor() + " " + said;
+    }
+
+    private static void until(Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + LONG.toNanos();
+        while (!condition.call()) {
+            assertTrue(System.nanoTime() < end, "the condition did not come");
+            Thread.sleep(50);
+        }
+    }
+
+    @Test
+    void operatorsPlanStartAndAbandonAndAKilledServiceGoesOn() throws Exception {
+        serve();
+        until(() -> layouts("verify").equals("0 sound: layout 1, 4 slices"));
+        assertEquals("0 possible: split 0 at [100]", layouts("plan", "--change", "{\"split\": 0, \"at\": [100]}"));
+        assertEquals("1 there is no slice 9", layouts("plan", "--change", "{\"split\": 9, \"at\": [100]}"));
+        assertEquals("1 gap: no slice holds the keys 100-281474976710656",
+                layouts("start", "--change", "{\"slices\": [{\"from\": 0, \"to\": 100, \"nodes\": [\"n0\", \"n1\"]}]}"));
+        assertEquals("2 layouts start: give --file or --change", layouts("start"));
+        assertEquals("1 no move 5 is under way", layouts("abandon", "--move", "5"));
+        assertEquals("0 move 1: split 0 at [100]", layouts("start", "--change", "{\"split\": 0, \"at\": [100]}"));
+        until(() -> layouts("verify").equals("0 sound: layout 2, 5 slices"));
+        nodes.get(2).hang(true);
+        assertEquals("0 move 2: move 4 from n0 to n2",
+                layouts("start", "--change", "{\"move\": 4, \"off\": \"n0\", \"onto\": \"n2\"}"));
+        until(() -> layouts("status").contains("COPYING"));
+        service.destroyForcibly().waitFor();
+        serve();
+        until(() -> layouts("status").contains("COPYING"));
+        assertEquals("0 move 2 is being abandoned", layouts("abandon", "--move", "2"));
+        nodes.get(2).hang(false);
+        until(() -> layouts("status").contains("ABANDONED"));
+        until(() -> layouts("verify").equals("0 sound: layout 3, 5 slices"));
+        assertTrue(layouts("show").contains("\"version\":3"));
+        assertTrue(Files.readString(dir.resolve("service.txt")).contains("5 slices, 1 moves under way"));
+    }
+
+    @Test
+    void aSecondServiceOnOneLogIsKeptOut() throws Exception {
+        serve();
+        until(() -> layouts("verify").startsWith("0 sound"));
+        String other = Files.writeString(dir.resolve("other.json5"), Files.readString(Path.of(settings))
+                .replaceAll("listen: \"127.0.0.1:[0-9]+\"", "listen: \"127.0.0.1:1\"")).toString();
+        Process second = new ProcessBuilder(java("layouts", "serve", "--settings", other)).redirectErrorStream(true).start();
+        assertTrue(new String(second.getInputStream().readAllBytes(), StandardCharsets.UTF_8).contains("in use"));
+        assertEquals(1, second.waitFor());
+    }
+
+    @Test
+    void tryAnswersTheQueryItPrints() throws Exception {
+        Process tried = new ProcessBuilder(java("try", "--seconds", "20")).redirectErrorStream(true).start();
+        try (var out = tried.inputReader()) {
+            String line;
+            String curl = null;
+            while (curl == null && (line = out.readLine()) != null) {
+                curl = line.contains("curl -i") ? line.strip() : null;
+            }
+            String[] quoted = curl.split("'");
+            HttpURLConnection asked = (HttpURLConnection) URI.create(quoted[1]).toURL().openConnection(Proxy.NO_PROXY);
+            for (int i = 3; i < quoted.length - 2; i += 2) {
+                asked.setRequestProperty(quoted[i].split(": ")[0], quoted[i].split(": ")[1]);
+            }
+            asked.setDoOutput(true);
+            asked.getOutputStream().write(quoted[quoted.length - 1].getBytes(StandardCharsets.UTF_8));
+            assertEquals(200, asked.getResponseCode());
+            assertTrue(new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                    .contains("\"total\":true"));
+        } finally {
+            tried.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    void trialsAreListedAndBadOnesNamed() throws Exception {
+        for (Map.Entry<String, Integer> one : Map.of("--list", 0, "nothing", 2, "recuts --plant x", 2,
+                "recuts --seeds x", 2, "recuts --seeds 1-2", 0, "recuts --seeds 1-2 --plant back", 1).entrySet()) {
+            List<String> command = java("trial");
+            command.addAll(List.of(one.getKey().split(" ")));
+            Process asked = new ProcessBuilder(command).redirectErrorStream(true).start();
+            String said = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(one.getValue(), asked.waitFor(), said);
+        }
+    }
+}
--- a/src/test/java/postbeam/router/DecisionsTest.java
+++ b/src/test/java/postbeam/router/DecisionsTest.java
@@ -31,6 +31,7 @@
 import postbeam.roster.Told;
 import postbeam.setup.Info;
 import postbeam.setup.Json;
+import postbeam.slices.Unroutable;
 import postbeam.state.Outcome;
 import postbeam.state.Readiness;
 
@@ -55,11 +56,19 @@
                 + "\"caps\":{\"maxAttempts\":3,\"mayDuplicate\":true,\"cancelling\":true,\"probes\":true},\"classes\":["
                 + "{\"name\":\"lookup\",\"promise\":1000000,\"effect\":\"retryable\"},"
                 + "{\"name\":\"hold\",\"promise\":1000000,\"effect\":\"fragile\",\"lateWorth\":0.1}]}")
-                .getBytes(StandardCharsets.UTF_8)), ""), 1, 2, Duration.ofMillis(50));
+                .getBytes(StandardCharsets.UTF_8)), ""), 1, 2, Duration.ofMillis(50), null);
         decisions.listed(new Told(1, true, List.of(new Entry("n1", "a", 0, 0, Readiness.READY)),
                 Map.of("n1", "127.0.0.1:1")));
     }
 
+    private OpenQuery take(Asked asked, Duration age) {
+        try {
+            return decisions.take(asked, age);
+        } catch (Unroutable e) {
+            throw new AssertionError("no slices move here", e);
+        }
+    }
+
     private Decisions decisions() {
         return decisions;
     }
@@ -93,14 +102,14 @@
 
     @Test
     void whatOneTurnSendsToANodeTravelsTogetherUpToTheLimit() {
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 3), Duration.ZERO);
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 3), Duration.ZERO);
         assertEquals(List.of("a.0", "a.1"), send(q).calls().stream().map(call -> call.id).toList());
         assertEquals(List.of("a.2"), send(q).calls().stream().map(call -> call.id).toList());
     }
 
     @Test
     void allPartsInMakeAWholeAnswerOfTheNodesValues() {
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 2), Duration.ZERO);
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 2), Duration.ZERO);
         decisions.report(send(q).calls().stream().map(call -> new Ending(call, Outcome.MERGED, VALUE)).toList());
         Step.Answer answer = assertInstanceOf(Step.Answer.class, pick(q));
         assertTrue(answer.whole());
@@ -110,7 +119,7 @@
 
     @Test
     void aCallThatIsReportedTwiceCountsOnce() {
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 2), Duration.ZERO);
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 2), Duration.ZERO);
         Call call = send(q).calls().get(0);
         decisions.report(List.of(new Ending(call, Outcome.MERGED, VALUE), new Ending(call, Outcome.MERGED, VALUE)));
         decisions.left(q);
@@ -120,7 +129,7 @@
 
     @Test
     void whatIsOverIsMarkedSoBeforeItsLastStepIsGiven() {
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
         Call call = send(q).calls().get(0);
         decisions.left(q);
         assertTrue(call.over());
@@ -128,16 +137,16 @@
 
     @Test
     void anIdThatIsOpenIsNotTakenAgain() {
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
-        assertNull(decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO));
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
+        assertNull(take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO));
         decisions.left(q);
-        assertNotNull(decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO));
+        assertNotNull(take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO));
     }
 
     @Test
     void aFailureOfTheDecisionsAbortsItsQueryAndNoOther() {
-        OpenQuery sound = decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
-        OpenQuery failing = decisions.take(asked("b", "no such vertical", PATIENCE, 1), Duration.ZERO);
+        OpenQuery sound = take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
+        OpenQuery failing = take(asked("b", "no such vertical", PATIENCE, 1), Duration.ZERO);
         assertInstanceOf(Step.Abort.class, pick(failing));
         decisions.report(List.of(new Ending(send(sound).calls().get(0), Outcome.MERGED, VALUE)));
         assertInstanceOf(Step.Answer.class, pick(sound));
@@ -145,14 +154,14 @@
 
     @Test
     void ageCountsAgainstTheClientsPatience() {
-        OpenQuery q = decisions.take(asked("a", "hold", PATIENCE, 1), Duration.ofSeconds(3));
+        OpenQuery q = take(asked("a", "hold", PATIENCE, 1), Duration.ofSeconds(3));
         assertTrue(send(q).calls().get(0).millisLeft() <= 2000);
     }
 
     @Test
     void timeAloneEndsAQueryBeforeItsClientLeaves() {
         long start = System.nanoTime();
-        OpenQuery q = decisions.take(asked("a", "hold", Duration.ofMillis(400), 1), Duration.ZERO);
+        OpenQuery q = take(asked("a", "hold", Duration.ofMillis(400), 1), Duration.ZERO);
         send(q);
         Step step = pick(q);
         while (step instanceof Step.GiveUp) {
@@ -164,9 +173,9 @@
 
     @Test
     void aFailingNodeIsProbedAndAProbeWithoutAnswerEnds() {
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
         decisions.report(List.of(new Ending(send(q).calls().get(0), Outcome.RESET)));
-        decisions.take(asked("b", "hold", PATIENCE, 1), Duration.ZERO);
+        take(asked("b", "hold", PATIENCE, 1), Duration.ZERO);
         Step.Probe first = assertInstanceOf(Step.Probe.class, nextProbe());
         assertEquals("127.0.0.1:1", first.address());
         assertInstanceOf(Step.Probe.class, nextProbe());
@@ -185,7 +194,7 @@
     @Test
     void aNodeIsReachedFromTheTurnOnThatToldOfIt() {
         decisions.listed(new Told(2, true, List.of(), Map.of()));
-        OpenQuery q = decisions.take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
+        OpenQuery q = take(asked("a", "lookup", PATIENCE, 1), Duration.ZERO);
         decisions.listed(new Told(3, true, List.of(new Entry("n2", "a", 0, 0, Readiness.READY)),
                 Map.of("n2", "127.0.0.1:2")));
         assertEquals("127.0.0.1:2", send(q).address());
@@ -193,7 +202,7 @@
 
     @Test
     void aCallThatHasEndedLeavesNothingThatWaits() throws InterruptedException {
-        OpenQuery q = decisions.take(asked("a", "hold", Duration.ofDays(1), 1), Duration.ZERO);
+        OpenQuery q = take(asked("a", "hold", Duration.ofDays(1), 1), Duration.ZERO);
         decisions.report(List.of(new Ending(send(q).calls().get(0), Outcome.MERGED, VALUE)));
         assertInstanceOf(Step.Answer.class, pick(q));
         long end = System.nanoTime() + PATIENCE.toNanos();
@@ -207,7 +216,7 @@
     void whatComesWhileDecidingIsDearIsDecidedOnTogether() {
         List<OpenQuery> all = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
-            all.add(decisions.take(asked("q" + i, "lookup", PATIENCE, 10), Duration.ZERO));
+            all.add(take(asked("q" + i, "lookup", PATIENCE, 10), Duration.ZERO));
         }
         assertTrue(decisions.ends() < 200, decisions.ends() + " times for 200 queries");
         send(all.get(0));
--- /dev/null
+++ b/src/test/java/postbeam/slices/CoordinatorTest.java
@@ -0,0 +1,352 @@
+package postbeam.slices;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import postbeam.state.Readiness;
+
+class CoordinatorTest {
+    private static final MoveLimits LIMITS = new MoveLimits(2, 1, 2, Duration.ofSeconds(10), Duration.ofSeconds(5),
+            Duration.ofSeconds(2), Duration.ofSeconds(1), 2, 2);
+
+    private final Map<String, Target.Known> nodes = new LinkedHashMap<>();
+    private final List<Logged> records = new ArrayList<>();
+    private final List<Layout> published = new ArrayList<>();
+    /** Nodes that answer nothing. */
+    private final List<String> silent = new ArrayList<>();
+    private final List<Act.Tell> told = new ArrayList<>();
+    private Coordinator coordinator;
+    private Duration now = Duration.ofSeconds(100);
+
+    CoordinatorTest() {
+        for (String name : List.of("a", "b", "c", "d")) {
+            nodes.put(name, new Target.Known("z" + (name.charAt(0) - 'a') % 2, Readiness.READY));
+        }
+        Layout first = Layout.first(4, List.of("a", "b", "c", "d"), 2);
+        records.add(new Logged.Whole(first, 1, 0, 3, List.of(), null));
+        restart();
+    }
+
+    /** From what is on disk. */
+    private void restart() {
+        Book book = new Book(100);
+        records.forEach(book::apply);
+        coordinator = new Coordinator(book, LIMITS);
+        coordinator.listed(nodes, List.of());
+    }
+
+    private void readiness(String node, Readiness readiness) {
+        nodes.put(node, new Target.Known(nodes.get(node).zone(), readiness));
+        coordinator.listed(nodes, List.of());
+    }
+
+    /** Carries acts out; false where it dies after so many more records. */
+    private boolean carryOut(List<Act> acts, int recordsLeft) {
+        for (Act act : acts) {
+            if (act instanceof Act.Write write) {
+                records.add(write.record());
+                if (--recordsLeft == 0) {
+                    return false;
+                }
+            } else if (act instanceof Act.Publish publish) {
+                published.add(publish.layout());
+            } else if (act instanceof Act.Tell tell) {
+                told.add(tell);
+            }
+        }
+        return true;
+    }
+
+    private void answer() {
+        List<Act.Tell> all = List.copyOf(told);
+        told.clear();
+        for (Act.Tell tell : all) {
+            if (!silent.contains(tell.node())) {
+                coordinator.done(tell.move(), tell.node(), tell.order(), tell.slice());
+            }
+        }
+    }
+
+    private void goOn(Duration span) {
+        Duration end = now.plus(span);
+        while (now.compareTo(end) < 0) {
+            carryOut(coordinator.tick(now), -1);
+            answer();
+            now = now.plusMillis(100);
+        }
+    }
+
+    private long plan(Change change) {
+        carryOut(coordinator.plan(change, now), -1);
+        return coordinator.book().nextMove() - 1;
+    }
+
+    private MoveState until(long id, MoveState state) {
+        for (int i = 0; i < 200 && coordinator.book().move(id) != null
+                && coordinator.book().move(id).state != state; i++) {
+            carryOut(coordinator.tick(now), -1);
+            if (coordinator.book().move(id) != null && coordinator.book().move(id).state != state) {
+                answer();
+            }
+            now = now.plusMillis(100);
+        }
+        return coordinator.book().move(id) == null ? null : coordinator.book().move(id).state;
+    }
+
+    private Move over(long id) {
+        return coordinator.book().over().stream().filter(move -> move.id == id).findFirst().orElseThrow();
+    }
+
+    private Layout layout() {
+        return coordinator.book().layout();
+    }
+
+    @Test
+    void aMoveGoesThroughItsStatesAndTheFenceComesBeforeTheCut() {
+        long id = plan(new Change.Move(0, "a", "c"));
+        List<Order> orders = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            carryOut(coordinator.tick(now), -1);
+            told.stream().filter(tell -> tell.move() == id).forEach(tell -> orders.add(tell.order()));
+            answer();
+        }
+        assertEquals(List.of(Order.COPY, Order.HOLD, Order.FENCE, Order.SERVE, Order.DROP), orders);
+        assertEquals(MoveState.FORGOTTEN, over(id).state);
+        assertEquals(List.of("c", "b"), layout().slice(0).nodes());
+        assertEquals(1, published.size());
+    }
+
+    @Test
+    void splitsAndMergesGoTheSameWay() {
+        plan(new Change.Split(0, List.of(50L, 100L)));
+        goOn(Duration.ofSeconds(3));
+        assertEquals(6, layout().slices().size());
+        plan(new Change.Merge(List.of(4, 5, 6)));
+        goOn(Duration.ofSeconds(3));
+        assertEquals(4, layout().slices().size());
+        assertEquals(KeyRange.KEYS / 4, layout().slice(7).keys().size());
+    }
+
+    @Test
+    void badPlansGetOneLineAndChangeNothing() {
+        nodes.put("e", new Target.Known("z0", Readiness.DRAINING));
+        coordinator.listed(nodes, List.of());
+        plan(new Change.Move(2, "c", "a"));
+        int before = records.size();
+        Map<Change, String> bad = new LinkedHashMap<>();
+        bad.put(new Change.Split(9, List.of(5L)), "there is no slice 9");
+        bad.put(new Change.Split(0, List.of(KeyRange.KEYS - 1)), "can't be cut at");
+        bad.put(new Change.Merge(List.of(0, 2)), "slice 2 is moving already");
+        bad.put(new Change.Merge(List.of(0, 1)), "held by other nodes");
+        bad.put(new Change.Merge(List.of(1, 0)), "no neighbours in order");
+        bad.put(new Change.Move(0, "a", "x"), "there is no node x");
+        bad.put(new Change.Move(0, "a", "e"), "node e is draining");
+        bad.put(new Change.Move(0, "a", "b"), "is held by b already");
+        bad.put(new Change.Move(0, "d", "c"), "is not held by d");
+        bad.put(new Change.Move(0, "a", null), "1 holders, at least 2 are needed");
+        bad.put(new Change.Move(0, "a", "d"), "holders in 1 zones, at least 2 are needed");
+        bad.forEach((change, why) -> {
+            String said = assertThrows(IllegalArgumentException.class, () -> coordinator.plan(change, now)).getMessage();
+            assertTrue(said.contains(why), change + ": " + said);
+            assertFalse(said.contains("\n"));
+        });
+        assertEquals(before, records.size());
+    }
+
+    @Test
+    void aBadTargetIsToldLineByLine() {
+        KeyRange low = new KeyRange(0, 100);
+        assertEquals(List.of("gap: no slice holds the keys 100-" + KeyRange.KEYS),
+                coordinator.problems(new Target(List.of(new Target.Wanted(low, List.of("a", "b"))))));
+        assertEquals(List.of("overlap: two slices hold the keys 50-100"), coordinator.problems(new Target(List.of(
+                new Target.Wanted(low, List.of("a", "b")),
+                new Target.Wanted(new KeyRange(50, KeyRange.KEYS), List.of("a", "b"))))));
+        assertEquals(3, coordinator.problems(new Target(List.of(new Target.Wanted(low, List.of("a", "x")),
+                new Target.Wanted(new KeyRange(100, KeyRange.KEYS), List.of("a", "a"))))).size());
+    }
+
+    @Test
+    void limitsHoldMovesBack() {
+        // b is needed by both; one at a time may need a node.
+        long first = plan(new Change.Move(0, "a", "c"));
+        long second = plan(new Change.Move(1, "c", "a"));
+        silent.add("c");
+        goOn(Duration.ofSeconds(1));
+        assertEquals(MoveState.COPYING, coordinator.book().move(first).state);
+        assertEquals(MoveState.PLANNED, coordinator.book().move(second).state);
+        silent.clear();
+        goOn(Duration.ofSeconds(4));
+        assertEquals(MoveState.FORGOTTEN, over(second).state);
+    }
+
+    @Test
+    void aMoveWaitsWhileItsSourceDrainsOrItsTargetRests() {
+        readiness("a", Readiness.DRAINING);
+        readiness("b", Readiness.DRAINING);
+        long drains = plan(new Change.Move(0, "a", "c"));
+        goOn(Duration.ofSeconds(3));
+        assertEquals(MoveState.PLANNED, coordinator.book().move(drains).state);
+        readiness("a", Readiness.READY);
+        readiness("b", Readiness.READY);
+        goOn(Duration.ofSeconds(3));
+        assertEquals(MoveState.FORGOTTEN, over(drains).state);
+        // a then has just taken a slice: it is given no other for a while.
+        long first = plan(new Change.Move(0, "c", "a"));
+        goOn(Duration.ofSeconds(1));
+        assertEquals(MoveState.FORGOTTEN, over(first).state);
+        long rests = plan(new Change.Move(1, "c", "a"));
+        goOn(Duration.ofMillis(200));
+        assertEquals(MoveState.PLANNED, coordinator.book().move(rests).state);
+        goOn(Duration.ofSeconds(4));
+        assertEquals(MoveState.FORGOTTEN, over(rests).state);
+    }
+
+    @Test
+    void aDrainingSourceIsSparedWhereAnotherHolderHasTheData() {
+        readiness("a", Readiness.DRAINING);
+        long id = plan(new Change.Move(0, "a", "c"));
+        assertEquals(List.of("b"), coordinator.book().move(id).gains.stream().map(Move.Gain::source).toList());
+        goOn(Duration.ofSeconds(3));
+        assertEquals(MoveState.FORGOTTEN, over(id).state);
+    }
+
+    @Test
+    void aStuckCopyIsAbandonedAfterItsTime() {
+        silent.add("c");
+        long id = plan(new Change.Move(0, "a", "c"));
+        goOn(Duration.ofSeconds(9));
+        assertEquals(MoveState.COPYING, coordinator.book().move(id).state);
+        goOn(Duration.ofSeconds(10));
+        assertEquals(MoveState.ABANDONED, over(id).state);
+        assertEquals("the copy is stuck", over(id).why);
+        assertEquals(2, layout().version);
+        assertEquals(List.of("a", "b"), layout().slice(0).nodes());
+    }
+
+    @Test
+    void aTargetThatDiesWhileHoldingBothEndsTheMove() {
+        long id = plan(new Change.Move(0, "a", "c"));
+        assertEquals(MoveState.HOLDING_BOTH, until(id, MoveState.HOLDING_BOTH));
+        silent.add("c");
+        readiness("c", Readiness.GONE);
+        goOn(Duration.ofSeconds(10));
+        assertEquals(MoveState.ABANDONED, over(id).state);
+        assertEquals(List.of("a", "b"), layout().slice(0).nodes());
+    }
+
+    @Test
+    void aSourceThatDiesOnceItIsFencedIsNotNeededAnyMore() {
+        long id = plan(new Change.Move(0, "a", "c"));
+        assertEquals(MoveState.FENCED, until(id, MoveState.FENCED));
+        answer();
+        silent.add("a");
+        readiness("a", Readiness.GONE);
+        goOn(Duration.ofSeconds(10));
+        assertEquals(MoveState.FORGOTTEN, over(id).state);
+        assertEquals(List.of("c", "b"), layout().slice(0).nodes());
+    }
+
+    @Test
+    void aSourceThatIsGoneBeforeItWasFencedEndsTheMove() {
+        long id = plan(new Change.Move(0, "a", "c"));
+        assertEquals(MoveState.FENCED, until(id, MoveState.FENCED));
+        silent.add("a");
+        told.clear();
+        readiness("a", Readiness.GONE);
+        goOn(Duration.ofSeconds(10));
+        assertEquals(MoveState.ABANDONED, over(id).state);
+        assertEquals(List.of("a", "b"), layout().slice(0).nodes());
+    }
+
+    @Test
+    void aMoveCanBeAbandonedInEachState() {
+        for (MoveState state : List.of(MoveState.PLANNED, MoveState.COPYING, MoveState.HOLDING_BOTH, MoveState.FENCED,
+                MoveState.CUT_OVER)) {
+            long version = layout().version;
+            long id = plan(new Change.Split(layout().slices().get(0).number(), List.of(77L)));
+            assertEquals(state, until(id, state));
+            carryOut(coordinator.abandon(id, "asked", now), -1);
+            assertThrows(IllegalArgumentException.class, () -> coordinator.abandon(id, "again", now));
+            goOn(Duration.ofSeconds(8));
+            assertEquals(0, coordinator.book().moves().size(), state.toString());
+            assertEquals(4, layout().slices().size(), state + ": the old slices are in force");
+            assertTrue(layout().version > version, state + ": under a higher version");
+            assertEquals(state == MoveState.CUT_OVER ? MoveState.FORGOTTEN : MoveState.ABANDONED, over(id).state);
+        }
+    }
+
+    /** All cut points: dies right after each record of a run, and after each with what follows it already told. */
+    @Test
+    void aCoordinatorKilledAtAnyRecordGoesOnOrAbandons() {
+        List<Change> changes = List.of(new Change.Split(0, List.of(100L)), new Change.Move(2, "c", "a"),
+                new Change.Merge(List.of(4, 5)), new Change.Move(2, "a", "c"));
+        boolean died = true;
+        int cuts = 0;
+        for (int at = 1; died; at++) {
+            CoordinatorTest run = new CoordinatorTest();
+            died = false;
+            for (Change change : changes) {
+                List<Act> acts = run.coordinator.plan(change, run.now);
+                for (int i = 0; i < 100; i++) {
+                    int before = run.records.size();
+                    if (!died && !run.carryOut(acts, at - run.records.size() + 1)) {
+                        died = true;
+                        cuts++;
+                        run.restart();
+                    } else if (died) {
+                        run.carryOut(acts, -1);
+                    }
+                    assertTrue(run.records.size() >= before);
+                    run.answer();
+                    run.now = run.now.plusMillis(100);
+                    acts = run.coordinator.tick(run.now);
+                }
+                run.carryOut(acts, -1);
+                assertEquals(0, run.coordinator.book().moves().size(), "killed at record " + at + ", " + change);
+            }
+            assertEquals(4, run.layout().slices().size(), "killed at record " + at);
+            assertEquals(4, run.records.stream().filter(Logged.Planned.class::isInstance).count());
+            long version = 0;
+            for (Layout layout : run.published) {
+                assertTrue(layout.version > version, "killed at record " + at + ": versions go up");
+                version = layout.version;
+            }
+        }
+        assertTrue(cuts > 15, "cut points: " + cuts);
+    }
+
+    @Test
+    void aNodeThatComesBackIsToldWhatItServes() {
+        goOn(Duration.ofSeconds(1));
+        readiness("a", Readiness.GONE);
+        goOn(Duration.ofSeconds(1));
+        readiness("a", Readiness.READY);
+        carryOut(coordinator.tick(now), -1);
+        assertEquals(2, told.stream().filter(tell -> tell.node().equals("a") && tell.order() == Order.SERVE).count());
+        goOn(Duration.ofSeconds(1));
+        assertEquals(0, told.size());
+    }
+
+    @Test
+    void aTargetIsReachedThoughMovesOnTheWayFail() {
+        Target target = new Target(List.of(
+                new Target.Wanted(new KeyRange(0, KeyRange.KEYS / 3), List.of("c", "d")),
+                new Target.Wanted(new KeyRange(KeyRange.KEYS / 3, KeyRange.KEYS), List.of("a", "b"))));
+        carryOut(coordinator.aim(target), -1);
+        silent.add("d");
+        goOn(Duration.ofSeconds(30));
+        silent.clear();
+        restart();
+        goOn(Duration.ofSeconds(120));
+        assertEquals(2, layout().slices().size());
+        assertEquals(0, coordinator.book().moves().size());
+    }
+}
--- /dev/null
+++ b/src/test/java/postbeam/slices/TranslationBenchmark.java
@@ -0,0 +1,96 @@
+package postbeam.slices;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import postbeam.state.Effect;
+import postbeam.state.Query;
+import postbeam.state.Vertical;
+
+/**
+ * What translation costs a query of 100 parts over a layout of 10,000 slices: by the version in force, and by one 100
+ * re-cuts back. Run it with
+ * {@code mvn -q test-compile exec:java -Dexec.classpathScope=test -Dexec.mainClass=postbeam.slices.TranslationBenchmark}.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+public class TranslationBenchmark {
+    private static final int SLICES = 10_000;
+    private static final int PARTS = 100;
+    private static final int RECUTS = 100;
+    private static final Vertical SEARCH = new Vertical(Duration.ofSeconds(1), Effect.REPEATABLE, null, 1, 0.1, 0.75,
+            0.75, 0.9, 0);
+
+    private final Slicing slicing = new Slicing();
+    private final List<Asking> now = new ArrayList<>();
+    private final List<Asking> then = new ArrayList<>();
+    private Layout old;
+
+    @Setup
+    public void layout() {
+        List<String> nodes = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            nodes.add("n" + i);
+        }
+        Layout layout = Layout.first(SLICES, nodes, 3);
+        old = layout;
+        for (int i = 0; i < RECUTS; i++) {
+            Slice slice = layout.slices().get(50 * i);
+            layout = layout.after(new Change.Split(slice.number(), List.of(slice.keys().from() + 100)),
+                    List.of(SLICES + 2 * i, SLICES + 2 * i + 1), layout.version + 1, Duration.ZERO, 1000);
+        }
+        slicing.told(layout);
+        for (int i = 0; i < PARTS; i++) {
+            then.add(new Asking(old.slices().get(97 * i).number(), 1.0 / PARTS, null));
+            now.add(new Asking(layout.slices().get(97 * i).number(), 1.0 / PARTS, null));
+        }
+    }
+
+    private static Query query() {
+        return new Query(SEARCH, null, Duration.ZERO, Duration.ofSeconds(3));
+    }
+
+    @Benchmark
+    public Query byTheVersionInForce() throws Unroutable {
+        Query query = query();
+        slicing.take(query, 0, now);
+        return query;
+    }
+
+    @Benchmark
+    public Query byAVersionOfAHundredRecutsAgo() throws Unroutable {
+        Query query = query();
+        slicing.take(query, old.version, then);
+        return query;
+    }
+
+    /** What Decide asks for some times a turn. */
+    @Benchmark
+    public double weightAcrossRecuts() throws Unroutable {
+        Query query = query();
+        slicing.take(query, old.version, then);
+        return query.mergedWeight();
+    }
+
+    public static void main(String[] args) throws RunnerException {
+        new Runner(new OptionsBuilder().include(TranslationBenchmark.class.getSimpleName()).build()).run();
+    }
+}
