Nodes that come back drop what was moved off them; more libraries only where needed

Change: what a node has not confirmed to have dropped is in the log and told it first when it is back; verify says what would mend slices of a dead node; the first layout waits for enough nodes and spreads them over zones. Libraries of other commands are off the class path and brought by MoreLibraries. The socket tests use the rig's stand-ins.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -10,6 +10,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
@@ -59,7 +60,14 @@
     @Parameters(commandDescription = "Print the version")
     private static final class Version { }
 
+    /** Ways to run that a router's own libraries are enough for. */
+    private static final List<String> PLAIN = List.of("serve", "benchlink", "rehearse", "version");
+
     public static void main(String[] args) throws InterruptedException {
+        boolean plain = args.length > 0 && PLAIN.contains(args[0]) && !List.of(args).contains("--settings");
+        if (!plain && MoreLibraries.started(args)) {
+            return;
+        }
         Main main = new Main();
         Serve serve = new Serve();
         Rehearse rehearse = new Rehearse();
--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -36,6 +36,7 @@
 import postbeam.slices.Logged;
 import postbeam.slices.Move;
 import postbeam.slices.MoveLimits;
+import postbeam.slices.Placement;
 import postbeam.slices.Planner;
 import postbeam.slices.Target;
 import postbeam.state.Readiness;
@@ -171,17 +172,18 @@
         addresses.keySet().removeIf(name -> !known.containsKey(name) || known.get(name).readiness() == Readiness.GONE);
         orders.reachedAt(addresses);
         coordinator.listed(known, started);
-        if (log == null && !addresses.isEmpty()) {
-            begin();
+        List<String> spread = Placement.spread(known);
+        if (log == null && spread.size() >= place.firstHolders()) {
+            begin(spread);
         }
         wake();
     }
 
     /** The first layout of an installation: even slices over the nodes that are listed. */
-    private void begin() {
+    private void begin(List<String> spread) {
         try {
-            Layout first = Layout.first(place.firstSlices(), List.copyOf(addresses.keySet()), place.firstHolders());
-            open(new Logged.Whole(first, first.version, 0, first.slices().size() - 1, List.of(), null));
+            Layout first = Layout.first(place.firstSlices(), spread, place.firstHolders());
+            open(new Logged.Whole(first, first.version, 0, first.slices().size() - 1, List.of(), null, List.of()));
         } catch (IOException e) {
             LOG.log(System.Logger.Level.ERROR, "{0}; no layout is told", e.getMessage());
         }
@@ -456,7 +458,9 @@
                         + place.limits().holders() + " are needed");
             }
         }
-        lines.add((lines.isEmpty() ? "sound: " : lines.size() + " findings: ") + "layout " + book.layout().version
+        int findings = lines.size();
+        coordinator.mends().forEach(change -> lines.add("to mend it, if the node is dead: " + change));
+        lines.add((lines.isEmpty() ? "sound: " : findings + " findings: ") + "layout " + book.layout().version
                 + ", " + book.layout().slices().size() + " slices");
         return String.join("\n", lines);
     }
--- a/src/main/java/postbeam/layouts/MoveLog.java
+++ b/src/main/java/postbeam/layouts/MoveLog.java
@@ -108,7 +108,7 @@
                 Logged.Whole whole = book.whole();
                 long next = whole.lastVersion() + 2;
                 whole = new Logged.Whole(whole.layout().again(next), next, whole.lastMove(), whole.lastSlice(),
-                        whole.moves(), whole.target());
+                        whole.moves(), whole.target(), whole.owed());
                 book.apply(whole);
                 append(whole);
             }
--- a/src/main/java/postbeam/layouts/RecordForm.java
+++ b/src/main/java/postbeam/layouts/RecordForm.java
@@ -33,6 +33,11 @@
                 write(json, move);
             }
             json.writeEndArray();
+            json.writeArrayFieldStart("owed");
+            for (Move.Loss loss : whole.owed()) {
+                write(json, loss);
+            }
+            json.writeEndArray();
             if (whole.target() != null) {
                 json.writeFieldName("target");
                 LayoutForm.write(json, whole.target());
@@ -57,6 +62,11 @@
         } else if (record instanceof Logged.Back back) {
             start(json, "back", back.id(), back.at());
             json.writeNumberField("version", back.version());
+        } else if (record instanceof Logged.Owed owed) {
+            json.writeStringField("kind", "owed");
+            json.writeFieldName("loss");
+            write(json, owed.loss());
+            json.writeBooleanField("owed", owed.owed());
         } else if (record instanceof Logged.Aimed aimed) {
             json.writeStringField("kind", "aimed");
             if (aimed.target() != null) {
@@ -67,6 +77,27 @@
         json.writeEndObject();
     }
 
+    private static void write(JsonGenerator json, Move.Loss loss) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("node", loss.node());
+        json.writeNumberField("slice", loss.slice());
+        LayoutForm.write(json, loss.keys());
+        json.writeEndObject();
+    }
+
+    private static List<Move.Loss> losses(Map<?, ?> object, String name) throws IOException {
+        List<Move.Loss> losses = new ArrayList<>();
+        for (Map<?, ?> loss : LayoutForm.objects(object, name)) {
+            losses.add(loss(loss));
+        }
+        return losses;
+    }
+
+    private static Move.Loss loss(Map<?, ?> loss) throws IOException {
+        return new Move.Loss(Json.member(loss, "node", String.class), (int) LayoutForm.number(loss, "slice"),
+                LayoutForm.keys(loss));
+    }
+
     private static void start(JsonGenerator json, String kind, long id, Duration at) throws IOException {
         json.writeStringField("kind", kind);
         json.writeNumberField("move", id);
@@ -91,11 +122,7 @@
         json.writeEndArray();
         json.writeArrayFieldStart("losses");
         for (Move.Loss loss : move.losses()) {
-            json.writeStartObject();
-            json.writeStringField("node", loss.node());
-            json.writeNumberField("slice", loss.slice());
-            LayoutForm.write(json, loss.keys());
-            json.writeEndObject();
+            write(json, loss);
         }
         json.writeEndArray();
         json.writeNumberField("planned_ms", move.plannedAt().toMillis());
@@ -125,6 +152,8 @@
                     Json.member(object, "why", String.class), at(object));
             case "back" -> new Logged.Back(LayoutForm.number(object, "move"), LayoutForm.number(object, "version"),
                     at(object));
+            case "owed" -> new Logged.Owed(loss(Json.member(object, "loss", Map.class)),
+                    Json.member(object, "owed", Boolean.class));
             case "aimed" -> new Logged.Aimed(object.containsKey("target")
                     ? LayoutForm.target(Json.member(object, "target", Map.class)) : null);
             default -> throw new IOException("a record of an unknown kind: " + kind);
@@ -154,14 +183,9 @@
                         (int) LayoutForm.number(gain, "slice"), LayoutForm.keys(gain),
                         Json.member(gain, "source", String.class)));
             }
-            List<Move.Loss> losses = new ArrayList<>();
-            for (Map<?, ?> loss : LayoutForm.objects(move, "losses")) {
-                losses.add(new Move.Loss(Json.member(loss, "node", String.class),
-                        (int) LayoutForm.number(loss, "slice"), LayoutForm.keys(loss)));
-            }
             moves.add(new Logged.Standing(LayoutForm.number(move, "move"),
                     LayoutForm.change(Json.member(move, "change", Map.class)), LayoutForm.ints(move, "births"), gains,
-                    losses, Duration.ofMillis(LayoutForm.number(move, "planned_ms")), state(move),
+                    losses(move, "losses"), Duration.ofMillis(LayoutForm.number(move, "planned_ms")), state(move),
                     Duration.ofMillis(LayoutForm.number(move, "since_ms")),
                     move.get("why") instanceof String why ? why : null, Json.member(move, "turnsBack", Boolean.class),
                     Json.member(move, "fenced", Boolean.class)));
@@ -169,6 +193,6 @@
         return new Logged.Whole(LayoutForm.read(Json.member(object, "layout", Map.class)),
                 LayoutForm.number(object, "lastVersion"), LayoutForm.number(object, "lastMove"),
                 (int) LayoutForm.number(object, "lastSlice"), moves, object.containsKey("target")
-                        ? LayoutForm.target(Json.member(object, "target", Map.class)) : null);
+                        ? LayoutForm.target(Json.member(object, "target", Map.class)) : null, losses(object, "owed"));
     }
 }
--- a/src/main/java/postbeam/rig/StandInDiscovery.java
+++ b/src/main/java/postbeam/rig/StandInDiscovery.java
@@ -11,17 +11,30 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.xnio.IoUtils;
 
 /** Discovery on loopback: the whole list at once, and again when it changes. */
 final class StandInDiscovery implements Closeable {
-    private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final Map<String, String> entries = new LinkedHashMap<>();
+    /** Paths that it was asked for. */
+    final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
     private long version = 1;
+    /** Told instead of the entries where it is not null. */
+    private String raw;
+    private boolean half;
 
     StandInDiscovery() throws IOException {
+        this(null);
+    }
+
+    /** Tells these hosts, as they are. */
+    StandInDiscovery(String hosts) throws IOException {
+        raw = hosts;
         Thread thread = new Thread(this::accept, "stand-in discovery");
         thread.setDaemon(true);
         thread.start();
@@ -33,12 +46,30 @@
 
     /** The health is up, draining or removed. */
     synchronized void tell(StandInNode node, String health, long bornMs) {
-        entries.put(node.name, "{\"host\":\"" + node.name + "\",\"dial\":\"" + node.dial() + "\",\"site\":\"" + node.zone
-                + "\",\"class\":\"m\",\"block\":0,\"health\":\"" + health + "\",\"born_ms\":" + bornMs + "}");
+        entries.put(node.name, entry(node.name, node.dial(), node.zone, health, bornMs));
+        version++;
+        notifyAll();
+    }
+
+    /** From now on these hosts, as they are. */
+    synchronized void tell(String hosts) {
+        raw = hosts;
         version++;
         notifyAll();
     }
 
+    /** The next answer breaks off in its middle. */
+    synchronized void tellHalf() {
+        half = true;
+        version++;
+        notifyAll();
+    }
+
+    static String entry(String name, String dial, String zone, String health, long bornMs) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"site\":\"" + zone
+                + "\",\"class\":\"m\",\"block\":0,\"health\":\"" + health + "\",\"born_ms\":" + bornMs + "}";
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -63,9 +94,14 @@
                 while (!in.readLine().isEmpty()) {
                     // Headers say nothing here.
                 }
+                asked.add(path);
                 byte[] body = body(path).getBytes(StandardCharsets.UTF_8);
                 socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
                         .getBytes(StandardCharsets.UTF_8));
+                if (breaksOff()) {
+                    socket.getOutputStream().write(body, 0, body.length / 2);
+                    return;
+                }
                 socket.getOutputStream().write(body);
             }
         } catch (IOException | InterruptedException e) {
@@ -75,6 +111,12 @@
         }
     }
 
+    private synchronized boolean breaksOff() {
+        boolean breaks = half;
+        half = false;
+        return breaks;
+    }
+
     private synchronized String body(String path) throws InterruptedException {
         int at = path.indexOf("index=");
         if (at >= 0) {
@@ -84,7 +126,8 @@
                 wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
             }
         }
-        return "{\"seq\":" + version + ",\"whole\":true,\"hosts\":[" + String.join(",", entries.values()) + "]}";
+        return "{\"seq\":" + version + ",\"whole\":true,\"hosts\":[" 
+                + (raw != null ? raw : String.join(",", entries.values())) + "]}";
     }
 
     @Override
--- a/src/main/java/postbeam/rig/VirtualMoves.java
+++ b/src/main/java/postbeam/rig/VirtualMoves.java
@@ -50,7 +50,7 @@
     VirtualMoves(World world, Layout first) {
         this.world = world;
         records.add(RecordForm.write(new Logged.Whole(first, first.version, 0, first.slices().size() - 1, List.of(),
-                null)));
+                null, List.of())));
     }
 
     void start() {
@@ -155,7 +155,12 @@
             change = new Change.Move(slice.number(), slice.nodes().get(world.chance.nextInt(slice.nodes().size())),
                     ready.get(world.chance.nextInt(ready.size())));
         }
-        if (coordinator.problem(change).isEmpty()) {
+        // Now and then an operator takes a node that is gone for dead.
+        List<Change> mends = world.with(0.3) ? coordinator.mends() : List.of();
+        if (!mends.isEmpty()) {
+            begun++;
+            carryOut(coordinator.plan(mends.get(0), world.now()));
+        } else if (coordinator.problem(change).isEmpty()) {
             begun++;
             carryOut(coordinator.plan(change, world.now()));
         } else if (change instanceof Change.Merge merge) {
--- a/src/main/java/postbeam/slices/Book.java
+++ b/src/main/java/postbeam/slices/Book.java
@@ -5,6 +5,8 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -16,6 +18,7 @@
     private final long history;
     private final Map<Long, Move> moves = new LinkedHashMap<>();
     private final Deque<Move> over = new ArrayDeque<>();
+    private final Set<Move.Loss> owed = new LinkedHashSet<>();
     private Layout layout;
     private Target target;
     private long lastVersion;
@@ -47,6 +50,11 @@
         return over;
     }
 
+    /** What nodes have yet to be told that they hold no more. */
+    public Collection<Move.Loss> owed() {
+        return owed;
+    }
+
     /** Null where none of that number is under way. */
     public Move move(long id) {
         return moves.get(id);
@@ -82,7 +90,8 @@
     public Logged.Whole whole() {
         return new Logged.Whole(layout, lastVersion, lastMove, lastSlice, moves.values().stream()
                 .map(move -> new Logged.Standing(move.id, move.change, move.births, move.gains, move.losses,
-                        move.plannedAt, move.state, move.since, move.why, move.turnsBack, move.fenced)).toList(), target);
+                        move.plannedAt, move.state, move.since, move.why, move.turnsBack, move.fenced)).toList(), target,
+                List.copyOf(owed));
     }
 
     /** An IllegalArgumentException says why a record can't follow on those before. */
@@ -99,8 +108,18 @@
             }
             lastMove = planned.id();
             planned.births().forEach(number -> lastSlice = Math.max(lastSlice, number));
-            moves.put(planned.id(), Move.planned(planned.id(), planned.change(), planned.births(), planned.source(),
-                    layout, planned.at()));
+            Move move = Move.planned(planned.id(), planned.change(), planned.births(), planned.source(), layout,
+                    planned.at());
+            moves.put(move.id, move);
+            // Who is to have a slice again is not told to drop it for what was once.
+            owed.removeIf(loss -> move.gains.stream().anyMatch(gain -> gain.slice() == loss.slice()
+                    && gain.node().equals(loss.node())));
+        } else if (record instanceof Logged.Owed one) {
+            if (one.owed()) {
+                owed.add(one.loss());
+            } else {
+                owed.remove(one.loss());
+            }
         } else if (record instanceof Logged.Advanced advanced) {
             Move move = needed(advanced.id());
             move.state = advanced.state();
@@ -136,6 +155,8 @@
         lastMove = whole.lastMove();
         lastSlice = whole.lastSlice();
         target = whole.target();
+        owed.clear();
+        owed.addAll(whole.owed());
         moves.clear();
         for (Logged.Standing standing : whole.moves()) {
             Move move = new Move(standing.id(), standing.change(), standing.births(), standing.gains(),
--- a/src/main/java/postbeam/slices/Coordinator.java
+++ b/src/main/java/postbeam/slices/Coordinator.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import postbeam.state.Readiness;
 
@@ -172,11 +174,21 @@
                 .or(() -> holders.stream().filter(node -> !gone(node)).findFirst()).orElse(null);
     }
 
+    /** Moves that would bring slices off nodes that are gone: for operators, who alone know that these are dead. */
+    public List<Change> mends() {
+        Set<String> gone = new LinkedHashSet<>();
+        nodes.keySet().stream().filter(this::gone).forEach(gone::add);
+        List<Change> mends = new ArrayList<>(Placement.repairs(book.layout(), nodes, gone, book.busy(),
+                2 * limits.most()));
+        mends.removeIf(change -> problem(change).isPresent());
+        return mends;
+    }
+
     // ---- what time and nodes bring
 
     /** A node has answered an order; one for a move that is no more is passed over. */
     public void done(long id, String node, Order order, int slice) {
-        Map<Key, Told> keys = id == NO_MOVE ? reminded.get(node) : told.get(id);
+        Map<Key, Told> keys = id == NO_MOVE && order == Order.SERVE ? reminded.get(node) : told.get(id);
         Told one = keys == null ? null : keys.get(new Key(node, order, slice));
         if (one != null) {
             one.done = true;
@@ -194,17 +206,23 @@
             } while (move.state != before && !move.state.over());
         }
         if (book.target() != null) {
-            for (Change change : Planner.next(book.layout(), book.target(), book.busy())) {
-                if (book.moves().size() < 2 * limits.most() && problem(change).isEmpty()) {
-                    acts.addAll(plan(change, now));
-                }
-            }
+            planAll(acts, Planner.next(book.layout(), book.target(), book.busy()), now);
         }
-        told.keySet().removeIf(id -> book.move(id) == null);
+        told.keySet().removeIf(id -> id != NO_MOVE && book.move(id) == null);
+        collect(acts, now);
         remind(acts, now);
         return acts;
     }
 
+    /** As many as there is room for; the others are found again at the next tick. */
+    private void planAll(List<Act> acts, List<Change> changes, Duration now) {
+        for (Change change : changes) {
+            if (book.moves().size() < 2 * limits.most() && problem(change).isEmpty()) {
+                acts.addAll(plan(change, now));
+            }
+        }
+    }
+
     private void step(List<Act> acts, Move move, Duration now) {
         boolean late = now.minus(move.since).compareTo(
                 move.state == MoveState.COPYING ? limits.copyMost() : limits.stepMost()) > 0;
@@ -232,8 +250,10 @@
             }
             case FENCED -> fenced(acts, move, late, now);
             case CUT_OVER -> {
-                // Who does not answer keeps what it was fenced from: that harms nobody.
+                // Who does not answer is told again when it is there: what it was fenced from harms nobody so long.
                 if (losses(acts, move, Order.DROP, now) || late) {
+                    move.losses.stream().filter(loss -> !done(move.id, loss, Order.DROP))
+                            .forEach(loss -> write(acts, new Logged.Owed(loss, true)));
                     advance(acts, move, MoveState.FORGOTTEN, now);
                     turnBack(acts, move, now);
                 }
@@ -413,6 +433,25 @@
         return one.done;
     }
 
+    private boolean done(long move, Move.Loss loss, Order order) {
+        Told one = told.getOrDefault(move, Map.of()).get(new Key(loss.node(), order, loss.slice()));
+        return one != null && one.done;
+    }
+
+    /**
+     * Guards against a node that was gone while a slice was taken off it: when it is back it still thinks that it
+     * holds it, and would serve old data to a router that is as far behind. It is told to drop it first of all.
+     */
+    private void collect(List<Act> acts, Duration now) {
+        for (Move.Loss loss : List.copyOf(book.owed())) {
+            if (tell(acts, told.computeIfAbsent(NO_MOVE, id -> new HashMap<>()), NO_MOVE, loss.node(), Order.DROP,
+                    loss.slice(), loss.keys(), 0, null, now)) {
+                told.get(NO_MOVE).remove(new Key(loss.node(), Order.DROP, loss.slice()));
+                write(acts, new Logged.Owed(loss, false));
+            }
+        }
+    }
+
     /**
      * Guards against a node that comes back and knows nothing of what it is to serve, or never heard that a move
      * was abandoned: it is told of each slice that the layout in force gives it and that no move is about.
--- a/src/main/java/postbeam/slices/Logged.java
+++ b/src/main/java/postbeam/slices/Logged.java
@@ -6,8 +6,8 @@
 /** What the log of moves holds; {@link Book} is what its records add up to. Times are spans since 1970. */
 public sealed interface Logged {
     /** All that is known: the first record of each log. The target is null where there is none. */
-    record Whole(Layout layout, long lastVersion, long lastMove, int lastSlice, List<Standing> moves, Target target)
-            implements Logged { }
+    record Whole(Layout layout, long lastVersion, long lastMove, int lastSlice, List<Standing> moves, Target target,
+            List<Move.Loss> owed) implements Logged { }
 
     /** A move as it stands; why is null where it is not abandoned. */
     record Standing(long id, Change change, List<Integer> births, List<Move.Gain> gains, List<Move.Loss> losses,
@@ -29,6 +29,9 @@
     /** The layout without the move's change, under this version, is in force. */
     record Back(long id, long version, Duration at) implements Logged { }
 
+    /** A node has yet to be told that a slice is no longer its own; or, where it is not owed any more, has dropped it. */
+    record Owed(Move.Loss loss, boolean owed) implements Logged { }
+
     /** Where the layout is to get; null: nowhere any more. */
     record Aimed(Target target) implements Logged { }
 }
