--- a/src/main/java/postbeam/slices/Pin.java
+++ b/src/main/java/postbeam/slices/Pin.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -32,7 +33,7 @@
 
     Pin(long version, List<Named> named, Supplier<Layout> inForce, boolean recut) {
         this.version = version;
-        this.named = List.copyOf(named);
+        this.named = named.stream().sorted(Comparator.comparing(Named::keys)).toList();
         this.inForce = inForce;
         this.recut = recut;
     }
@@ -47,7 +48,7 @@
      */
     double weightOf(KeyRange keys) {
         double sum = 0;
-        for (Named one : named) {
+        for (Named one : meeting(keys)) {
             sum += one.weight() * one.keys().share(keys);
         }
         return sum;
@@ -56,13 +57,11 @@
     /** The work of keys, in the same way; null where any of it was not guessed. */
     Duration workOf(KeyRange keys) {
         double nanos = 0;
-        for (Named one : named) {
-            if (one.keys().meets(keys)) {
-                if (one.work() == null) {
-                    return null;
-                }
-                nanos += one.work().toNanos() * one.keys().share(keys);
+        for (Named one : meeting(keys)) {
+            if (one.work() == null) {
+                return null;
             }
+            nanos += one.work().toNanos() * one.keys().share(keys);
         }
         return Duration.ofNanos(Math.round(nanos));
     }
@@ -93,7 +92,26 @@
 
     /** The slices, as its client named them, that hold any of these keys. */
     public List<Integer> namesOf(KeyRange keys) {
-        return named.stream().filter(one -> one.keys().meets(keys)).map(Named::slice).toList();
+        return meeting(keys).stream().map(Named::slice).toList();
+    }
+
+    /** Those that hold any of these keys; they are sorted and apart, as slices of one layout are. */
+    private List<Named> meeting(KeyRange keys) {
+        int low = 0;
+        int high = named.size();
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (named.get(middle).keys().to() <= keys.from()) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        int end = low;
+        while (end < named.size() && named.get(end).keys().from() < keys.to()) {
+            end++;
+        }
+        return named.subList(low, end);
     }
 
     private static double weight(List<Piece> pieces) {
@@ -105,8 +123,7 @@
     }
 
     private List<Piece> byNamed(Query query, Predicate<Part> which) {
-        return whole(query, which, keys -> named.stream().filter(one -> one.keys().meets(keys))
-                .map(one -> (Object) one).toList());
+        return whole(query, which, this::meeting);
     }
 
     private List<Piece> inForce(Query query, Predicate<Part> which) {
--- a/src/main/java/postbeam/slices/Slicing.java
+++ b/src/main/java/postbeam/slices/Slicing.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -99,7 +98,6 @@
             Slice slice = held.slice(one.slice());
             return slice != null && slice.keys().equals(one.keys());
         });
-        names.sort(Comparator.comparing(Pin.Named::keys));
         Pin pin = new Pin(version, names, this::held, !same);
         query.counting = pin(pin);
         fragments.forEach(one -> piece(query, pin, one));
--- a/src/test/java/postbeam/slices/TranslationBenchmark.java
+++ b/src/test/java/postbeam/slices/TranslationBenchmark.java
@@ -23,8 +23,8 @@
 
 /**
  * What translation costs a query of 100 parts over a layout of 10,000 slices: by the version in force, and by one 100
- * re-cuts back. Run it with
- * {@code mvn -q test-compile exec:java -Dexec.classpathScope=test -Dexec.mainClass=postbeam.slices.TranslationBenchmark}.
+ * re-cuts back. After {@code mvn -q test-compile dependency:build-classpath -Dmdep.outputFile=target/cp} run it with
+ * {@code java -cp target/classes:target/test-classes:$(cat target/cp) postbeam.slices.TranslationBenchmark}.
  */
 @State(Scope.Benchmark)
 @BenchmarkMode(Mode.AverageTime)
