--- a/src/main/java/postbeam/layouts/LayoutsCommand.java
+++ b/src/main/java/postbeam/layouts/LayoutsCommand.java
@@ -127,7 +127,7 @@
         }
         int status = call.getResponseCode();
         try (InputStream answer = status < 400 ? call.getInputStream() : call.getErrorStream()) {
-            String text = answer == null ? "" : new String(answer.readAllBytes(), StandardCharsets.UTF_8);
+            String text = answer == null ? "" : new String(answer.readNBytes(LayoutWatch.LONGEST), StandardCharsets.UTF_8);
             (status < 400 ? out : err).println(text.stripTrailing());
         }
         return status < 400 ? 0 : 1;
