A stopping router gives its last word before it may be killed, where deadlines are short

Router took 3 s at least: 'servesOn = ...reduce(SERVES_ON, max)'. Where the longest deadline is 2.5 s it may be killed after 3.2 s, but took queries up to 3.0 s and gave them until 3.45 s. Ruled out: a crash or a hung stop (98 routers 'ended by themselves when told to'). Change: LeaveTimes takes both times from the deadlines, without I/O; the shorter of longest deadline and 3 s.

--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -49,12 +48,6 @@
     private static final Duration REHEARSAL_MOST = Duration.ofMillis(1500);
     /** Keys named in one line of the log. */
     private static final int MOST_NAMED = 10;
-    /** How long clients go on connecting after a stop was asked, at most 0.4 s as their page has it. */
-    private static final Duration STILL_COMING = Duration.ofMillis(600);
-    /** The least that a stopping router serves on: its page lets it live 0.7 s longer than this, or than a deadline. */
-    private static final Duration SERVES_ON = Duration.ofSeconds(3);
-    /** Before its end the last queries are answered or given up. */
-    private static final Duration LAST_ANSWERS = Duration.ofMillis(150);
     private static final Duration LOOK = Duration.ofMillis(10);
 
     private final Decisions decisions;
@@ -68,7 +61,7 @@
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
-    private final Duration servesOn;
+    private final LeaveTimes leaveTimes;
     private final boolean sliced;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
@@ -120,8 +113,7 @@
         rehearsalDoor = new ClientDoor(worker, null, rehearsal, usualWaits, owners, rehearsedShards, 1);
         held = startup;
         watch = Watch.of(discovery, cells, this::listed);
-        servesOn = usualWaits.values().stream().filter(Objects::nonNull).reduce(SERVES_ON,
-                (a, b) -> a.compareTo(b) > 0 ? a : b);
+        leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
     }
@@ -296,16 +288,16 @@
     }
 
     /**
-     * Serves on for as long as the longest wait that a client is told to have, so that clients with connections are
-     * served while what replaces this router starts; then stops taking queries, answers all that was taken, and
+     * Serves on for as long as {@link LeaveTimes} has it, so that clients with connections are served while what
+     * replaces this router starts; then stops taking queries, answers all that was taken, and
      * lets {@link #await} return. Ends as soon as no client is connected, once none can be on its way.
      */
     public void stop() throws InterruptedException {
         LOG.log(System.Logger.Level.INFO, "stopping");
         long asked = System.nanoTime();
-        clients.leave(servesOn.plus(STILL_COMING).minus(LAST_ANSWERS));
-        Thread.sleep(STILL_COMING.toMillis());
-        while (System.nanoTime() - asked < servesOn.toNanos() && !on(clients::unused)) {
+        clients.leave(leaveTimes.lastWord());
+        Thread.sleep(LeaveTimes.STILL_COMING.toMillis());
+        while (System.nanoTime() - asked < leaveTimes.servesOn().toNanos() && !on(clients::unused)) {
             Thread.sleep(LOOK.toMillis());
         }
         clients.close();
--- /dev/null
+++ b/src/test/java/postbeam/router/LeaveTimesTest.java
@@ -0,0 +1,29 @@
+package postbeam.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LeaveTimesTest {
+    private static void endsBefore(Duration killed, Duration... deadlines) {
+        LeaveTimes times = LeaveTimes.of(Arrays.asList(deadlines));
+        assertTrue(times.lastWord().compareTo(killed) < 0, times + " beside " + killed);
+        assertTrue(times.servesOn().compareTo(times.lastWord()) < 0, times.toString());
+    }
+
+    @Test
+    void theLastWordComesBeforeARouterMayBeKilled() {
+        endsBefore(Duration.ofMillis(2500 + 700), Duration.ofMillis(2500), Duration.ofMillis(2000));
+        endsBefore(Duration.ofMillis(3000 + 700), Duration.ofMillis(7500), null);
+        endsBefore(Duration.ofMillis(300 + 700), Duration.ofMillis(300));
+    }
+
+    @Test
+    void whereNoDeadlineIsStatedThePagesMostIsTaken() {
+        assertEquals(Duration.ofSeconds(3), LeaveTimes.of(List.of()).servesOn());
+    }
+}
