Discovery is asked for a watch where it tells nothing unasked; the drain rule holds

Cause: `discovery=subscribe` was not read, the adapter wrote no OBSERVE and passed no failed REGISTRY on (benchlink.Door, registry()), so the list stayed as cached at the start.

Decide.Asking: a watch at once; after a failure or a broken watch again, after a drawn pause from 0.5 s doubled to askEvery at most, so that instances do not ask in step; an ask with no answer in 5 s counts as failed. Host.watchList carries it out; on sockets the list is followed by a thread of its own already.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -86,6 +86,9 @@
     private static final Duration LAST_WORD = LOOK.multipliedBy(3);
     /** Time a client is told to wait after a rejection while the router is crowded. */
     private static final Duration COME_BACK = Duration.ofMillis(300);
+    /** First pause after discovery failed, doubled each time; and time after which an ask counts as failed. */
+    private static final Duration ASK_PAUSE = Duration.ofMillis(500);
+    private static final Duration ASK_UNANSWERED = Duration.ofSeconds(5);
     /** Weights of parts add up to 1 but for rounding. */
     private static final double ROUNDING = 0.00005;
     /** Buckets in which a span is kept: coarse enough to be cheap, fine enough to lose a fiftieth. */
@@ -98,20 +101,23 @@
     private final Calls calls;
     private final FurtherCalls further;
     private final ColdPacing cold;
+    private final Asking asking;
     private final List<Query> open = new ArrayList<>();
     private final Set<Zone> zones = new LinkedHashSet<>();
     private final Set<DataNode> resting = new LinkedHashSet<>();
     private double window = WINDOW_START;
     private Duration halvedAt;
     private int inFlight;
-    private boolean waking, crowded;
+    private boolean crowded;
+    /** When the host was last asked to wake it; null: never, or it has. */
+    private Duration wakeAt;
     /** Spares in flight: parts out beyond what their queries still need. */
     private int spares;
     private Duration usualAt;
     private double usual;
 
     public Decide(Host host, Random chance, Fleet fleet, Held held, Calls calls, FurtherCalls further,
-            ColdPacing cold) {
+            ColdPacing cold, Asking asking) {
         this.host = host;
         this.chance = chance;
         this.fleet = fleet;
@@ -119,6 +125,7 @@
         this.calls = calls;
         this.further = further;
         this.cold = cold;
+        this.asking = asking;
         // Our zone first, then by place within a shard's reach: one offset leads neighbouring shards to the
         // same nodes, and their parts share calls, which have a cost.
         fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach()) + n.cell % fleet.reach()));
@@ -150,6 +157,11 @@
         node.startedAt = startedAt;
     }
 
+    /** Discovery has answered or told of changes; or else a call to it failed, or the watch broke. */
+    public void listAnswered(Duration now, boolean failed) {
+        asking.answered(now, failed, chance);
+    }
+
     public void queryArrived(Duration now, Query q) {
         open.add(q);
         further.taken().add(now, 1);
@@ -194,7 +206,7 @@
     }
 
     public void woken(Duration now) {
-        waking = false;
+        wakeAt = null;
     }
 
     public void probed(Duration now, DataNode node, boolean answered) {
@@ -215,9 +227,14 @@
         lookAfter(now);
         open.forEach(q -> callBack(now, q));
         fill(now);
-        if (!open.isEmpty() && !waking) {
-            waking = true;
-            host.wakeAfter(LOOK);
+        if (asking.due(now)) {
+            host.watchList();
+        }
+        Duration look = open.isEmpty() ? null : now.plus(LOOK);
+        Duration next = look == null || asking.at == null ? look == null ? asking.at : look : min(look, asking.at);
+        if (next != null && (wakeAt == null || next.compareTo(wakeAt) < 0)) {
+            wakeAt = next;
+            host.wakeAfter(next.minus(now));
         }
     }
 
@@ -722,6 +739,45 @@
         }
     }
 
+    /**
+     * When discovery is asked for a watch, where it tells nothing unasked: at once, and again after a failure or
+     * no answer. Guards against a list that no longer changes, and against all routers asking again in step after
+     * an outage: each pause is drawn, and longer each time. It could hurt where a long pause outlasts the outage.
+     */
+    public static final class Asking {
+        private final boolean needed;
+        private final Duration longest;
+        private int failures;
+        /** When the next ask is due, while one is out when it counts as failed; null: not while the watch holds. */
+        private Duration at;
+
+        /** Null for the span in which a router has to ask where that is not stated. */
+        public Asking(boolean needed, Duration askEvery) {
+            this.needed = needed;
+            this.longest = askEvery == null ? ASK_UNANSWERED : askEvery;
+            this.at = needed ? Duration.ZERO : null;
+        }
+
+        boolean due(Duration now) {
+            if (at == null || now.compareTo(at) < 0) {
+                return false;
+            }
+            at = now.plus(ASK_UNANSWERED);
+            return true;
+        }
+
+        void answered(Duration now, boolean failed, Random chance) {
+            failures = failed ? failures + 1 : 0;
+            at = failed && needed ? now.plus(pause(failures, chance)) : null;
+        }
+
+        /** From half to one and a half times the pause, which doubles with each failure in a row. */
+        Duration pause(int failures, Random chance) {
+            Duration most = min(longest, ASK_PAUSE.multipliedBy(1L << Math.min(failures - 1, 10)));
+            return times(most, 0.5 + chance.nextDouble());
+        }
+    }
+
     /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
     public record FurtherCalls(Double free, Double share, Duration span, TimeRing taken, TimeRing sent) {
         public FurtherCalls(Double free, Double share, Duration span) {
--- a/src/main/java/postbeam/Host.java
+++ b/src/main/java/postbeam/Host.java
@@ -31,6 +31,9 @@
     /** Asks a node how it is; the result comes to {@link Decide#probed}. */
     void probe(DataNode node);
 
+    /** Asks discovery to tell of changes from now on; {@link Decide#listAnswered} tells how it went. */
+    void watchList();
+
     /** Adds a line to the operators' log. */
     void log(String text);
 }
--- a/src/main/java/postbeam/benchlink/Door.java
+++ b/src/main/java/postbeam/benchlink/Door.java
@@ -109,7 +109,7 @@
             case "INGRESS" -> instance.taken(now, in);
             case "REPORT_BACK" -> instance.reportedBack(now, in);
             case "RING" -> instance.decide().woken(now);
-            case "REGISTRY" -> registry(instance);
+            case "REGISTRY" -> registry(now, instance);
             case "ABANDONED" -> instance.abandoned(now, in);
             case "CHECKED" -> instance.probed(now, in);
             // No vertical is streamed, and the routers tell each other nothing.
@@ -118,9 +118,12 @@
         }
     }
 
-    private void registry(Instance instance) {
+    private void registry(Duration now, Instance instance) {
         int slot = (int) in.number(0);
         int scope = (int) in.number();
+        if (scope != SCOPE_CACHED) {
+            instance.decide().listAnswered(now, scope == SCOPE_FAILED);
+        }
         if (scope == SCOPE_FAILED) {
             return;
         }
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -216,6 +216,11 @@
         action("SAMPLE").append('\t').append(roster.name(node)).append('\n');
     }
 
+    @Override
+    public void watchList() {
+        action("OBSERVE").append("\t1\n");
+    }
+
     @Override
     public void log(String text) {
         action("TRACE").append('\t').append(text).append('\n');
--- a/src/main/java/postbeam/rig/VirtualRouter.java
+++ b/src/main/java/postbeam/rig/VirtualRouter.java
@@ -71,7 +71,8 @@
                 new Decide.Calls(3, true, true, true),
                 new Decide.FurtherCalls(rules.freeFurther(), rules.furtherShare(), rules.furtherSpan()),
                 new Decide.ColdPacing(rules.coldFrom(), rules.ramp(), rules.fallMultiple(), rules.fall(),
-                        world.plan.routers(), Duration.ofMillis(1)));
+                        world.plan.routers(), Duration.ofMillis(1)),
+                new Decide.Asking(false, null));
     }
 
     // ---- what happens
@@ -224,6 +225,9 @@
         });
     }
 
+    @Override
+    public void watchList() { }
+
     @Override
     public void log(String text) {
         // Nothing is logged in a trial.
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -202,7 +202,9 @@
     public void listed(Told told) {
         lock.lock();
         try {
-            turn(null, now(), () -> {
+            Duration now = now();
+            turn(null, now, () -> {
+                decide.listAnswered(now, false);
                 roster.listed(told.entries(), told.whole(),
                         micros -> Duration.ofNanos((micros - startUnixMicros) * 1000), decide);
                 // Before the turn ends: it may send to a node told of just now.
@@ -546,6 +548,10 @@
         });
     }
 
+    /** The list is followed by a thread of its own (discovery.Watch), which asks again by itself. */
+    @Override
+    public void watchList() { }
+
     @Override
     public void log(String text) {
         LOG.log(System.Logger.Level.INFO, text);
--- a/src/main/java/postbeam/setup/Assembly.java
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -66,6 +66,15 @@
                         info.number("obligations.budgetShare"), info.span("obligations.extraWindow")),
                 new Decide.ColdPacing(info.number("obligations.coldFrom"), info.span("obligations.rampTime"),
                         info.number("obligations.fallMultiple"), info.span("obligations.fall"), routers,
-                        info.span("domain.callCost")));
+                        info.span("domain.callCost")), asking(info));
+    }
+
+    /** Whether discovery has to be asked; without the setting it tells by itself. */
+    public static Decide.Asking asking(Info info) {
+        String how = info.text("discovery");
+        if (how != null && !how.equals("automatic") && !how.equals("subscribe")) {
+            throw info.bad("discovery", "must be automatic or subscribe, not " + how);
+        }
+        return new Decide.Asking("subscribe".equals(how), info.span("obligations.askEvery"));
     }
 }
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -388,4 +388,41 @@
         otherZone(4, 1);
         assertFalse(given.nodes.contains(given.sent.get(0).node));
     }
+
+    @Test
+    void discoveryThatTellsNothingUnaskedIsAskedAtOnceAndAgainAfterEachFailureLaterAndLater() {
+        Given asking = new Given(1, true, new Decide.Asking(true, ms(10_000)));
+        asking.decide.turnEnded(ms(0));
+        assertEquals(1, asking.asks);
+        long last = 0;
+        for (int failure = 1; failure <= 4; failure++) {
+            asking.decide.listAnswered(ms(last), true);
+            asking.decide.turnEnded(ms(last));
+            assertEquals(failure, asking.asks, "not in step with what failed");
+            Duration again = asking.wakes.get(asking.wakes.size() - 1);
+            long least = 250L << (failure - 1);
+            assertTrue(again.toMillis() >= least && again.toMillis() <= 3 * least, again.toString());
+            last += again.toMillis() + 1;
+            asking.decide.woken(ms(last));
+            asking.decide.turnEnded(ms(last));
+            assertEquals(failure + 1, asking.asks);
+        }
+        asking.decide.listAnswered(ms(last), false);
+        asking.decide.turnEnded(ms(last + 60_000));
+        assertEquals(5, asking.asks, "the watch holds");
+    }
+
+    @Test
+    void anAskWithoutAnAnswerIsMadeAgainAndDiscoveryThatTellsByItselfIsNeverAsked() {
+        Given asking = new Given(1, true, new Decide.Asking(true, ms(10_000)));
+        asking.decide.turnEnded(ms(0));
+        asking.decide.turnEnded(ms(4_900));
+        assertEquals(1, asking.asks);
+        asking.decide.turnEnded(ms(5_000));
+        assertEquals(2, asking.asks);
+        given.decide.turnEnded(ms(0));
+        given.decide.listAnswered(ms(10), true);
+        given.decide.turnEnded(ms(60_000));
+        assertEquals(0, given.asks);
+    }
 }
--- a/src/test/java/postbeam/benchlink/DoorTest.java
+++ b/src/test/java/postbeam/benchlink/DoorTest.java
@@ -50,4 +50,11 @@
         MalformedLine e = assertThrows(MalformedLine.class, () -> reply("SYNC\t5\nINGRESS\tx\n"));
         assertTrue(e.getMessage().startsWith("line 2: "), e.getMessage());
     }
+
+    @Test
+    void discoveryIsAskedWhereItTellsNothingUnaskedAndOnlyThere() throws IOException {
+        String asked = CREATE.replace("new.key=7", "discovery=subscribe\tobligations.askEvery=10000000");
+        assertTrue(reply("SYNC\t5\n" + asked + LIST + "EOF_BATCH\n").contains("OBSERVE\t3\t1\n"));
+        assertEquals("DONE\n", reply("SYNC\t5\n" + CREATE + LIST + "EOF_BATCH\n"));
+    }
 }
