Queries that crash nodes are held back, and parts wait for holders that just failed them

- A part goes to a node that failed it only once that is no longer left alone.
- While nodes crash by the list (two in 10 s), one part of a query goes ahead until one is merged; a query that lost such a part and one before (at once if its client marks a repeat) is given up.
- A node that could not be reached counts as cold from then on: the list tells of its start seconds late.
- A cold node's lot counts the shard's holders instead of the reach (at sets that is 1 and not 2), its sound ones, and what waited for it.
- Where calls carry one part, each part goes to the holder with fewest of ours out.
- A vertical's first time is corrected by what the nodes are like to others.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -65,6 +65,8 @@
     private static final double QUIET_SPAN = 20; // seconds of creeping at least: a short jam is not quiet
     /** Share of the SLO time taken for a part's quiet time before any answer has shown it. */
     private static final double QUIET_GUESS = 0.1;
+    /** Parts out that crossing to another zone counts for, where parts of a query share no calls. */
+    private static final double CROSSING = 0.5;
     /** Calls that a suspect node counts for when an offset is chosen: more than a sound one mostly has. */
     private static final int SUSPECT_CALLS = 4;
     /** Seconds of work a second that a warm node does at least: two cores'; smaller machines are rare. */
@@ -77,6 +79,11 @@
     private static final double COLD_CALLS = 8;
     /** Share of the limit on held queries and parts from which the router is crowded. */
     private static final double CROWDED_SHARE = 0.7;
+    /** How long a crashed node counts as a sign of queries that crash nodes, and how many such tell of them. */
+    private static final Duration CRASH_MEMORY = Duration.ofSeconds(10);
+    private static final int CRASHES_LEAST = 2;
+    /** Parts of a query reset, none merged, from which it is held to crash nodes: any call may meet one crash. */
+    private static final int RESETS_MOST = 2;
     /** How long customers' queries and this router's work are counted; queries a customer may be ahead. */
     private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
     private static final double SHARE_AHEAD = 2;
@@ -108,6 +115,8 @@
     private double window = WINDOW_START;
     private Duration halvedAt;
     private int inFlight;
+    /** Nodes that the list tells to have died or started anew with no drain before. */
+    private final TimeRing crashes = new TimeRing(CRASH_MEMORY, BUCKETS);
     private boolean crowded;
     /** When the host was last asked to wake it; null: never, or it has. */
     private Duration wakeAt;
@@ -128,12 +137,14 @@
         this.asking = asking;
         // Our zone first, then by place within a shard's reach: one offset leads neighbouring shards to the
         // same nodes, and their parts share calls, which have a cost.
-        fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach()) + n.cell % fleet.reach()));
+        if (calls.shared) {
+            fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach()) + n.cell % fleet.reach()));
+        }
     }
 
     // ---- what can happen
 
-    public void nodeListed(DataNode node, Readiness readiness, Duration startedAt) {
+    public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt) {
         boolean fresh = node.workSent == null;
         if (fresh) {
             node.workSent = cold.ring();
@@ -147,6 +158,10 @@
         } else if (fresh || node.readiness == Readiness.GONE) {
             fleet.add(node);
         }
+        if (!fresh && node.readiness == Readiness.READY && (readiness == Readiness.GONE
+                || startedAt != null && !startedAt.equals(node.startedAt))) {
+            crashes.add(now, 1);
+        }
         if (startedAt != null && !startedAt.equals(node.startedAt)) {
             node.slowness = 0;
             node.strikes = 0;
@@ -155,6 +170,9 @@
         }
         node.readiness = readiness;
         node.startedAt = startedAt;
+        if (startedAt != null && node.downAt != null && node.downAt.compareTo(startedAt) < 0) {
+            node.downAt = null;
+        }
     }
 
     /** Discovery has answered or told of changes; or else a call to it failed, or the watch broke. */
@@ -187,6 +205,13 @@
             window = Math.max(leastWindow(), window / 2);
         }
         learn(now, call, outcome, took);
+        if (outcome == Outcome.UNREACHABLE) {
+            call.node.downAt = now;
+        }
+        if (outcome == Outcome.RESET) {
+            q.resets++;
+            q.poisoned |= call.scout && q.resets >= (q.repeat ? 1 : RESETS_MOST);
+        }
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
             // Guards against a wide window while every node is slow, which no rejection tells: late parts
@@ -247,7 +272,7 @@
         Duration left = q.deadline.minus(now);
         if (!waiting && in + ROUNDING >= q.needed()) {
             answerWhole(q);
-        } else if (left.compareTo(LAST_WORD) <= 0 || partialIsBest(now, q, in) || !q.parts.isEmpty()
+        } else if (left.compareTo(LAST_WORD) <= 0 || q.poisoned || partialIsBest(now, q, in) || !q.parts.isEmpty()
                 && (possible + ROUNDING < q.needed()
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)
                 || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q))) {
@@ -408,6 +433,9 @@
                 || q.anyN() && q.out() > q.alpha()) {
             return false;
         }
+        if (scouted(now, q) && delta(now, q) > 0) {
+            return false;
+        }
         chooseOffset(now, q);
         Part bestPart = null;
         DataNode bestNode = null;
@@ -433,12 +461,23 @@
         return bestPart != null;
     }
 
+    /**
+     * Guards against a query whose parts crash the nodes that begin them: while nodes crash, one part goes ahead
+     * and the others follow once one is merged; a query that lost such a part, and one before, is given up. It
+     * costs the time of one part, and could hurt where nodes crash for other reasons and time is short.
+     */
+    private boolean scouted(Duration now, Query q) {
+        return q.step == 1 && q.count(part -> part.merged) == 0
+                && (q.resets > 0 || crashes.atLeast(now, CRASH_MEMORY) >= CRASHES_LEAST);
+    }
+
     private void send(Duration now, Part part, DataNode node) {
         if (!part.calls.isEmpty()) {
             further.sent().add(now, 1);
         }
         cold.sent(now, node, fleet.tookAt(part.shard, node), cold.work(part, quiet(part.query.vertical)));
         LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
+        call.scout = scouted(now, part.query);
         node.zone.trial = node.zone.strikes > 0 && !shunned(now, node.zone) ? call : node.zone.trial;
         inFlight++;
         host.send(call);
@@ -499,7 +538,7 @@
                 if (!replicas.isEmpty()) {
                     DataNode node = replicas.get(offset % replicas.size());
                     cost += node.zone.ours ? 0 : 0.01;
-                    if (nodes.add(node)) {
+                    if (nodes.add(node) || !calls.shared) {
                         cost += node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0);
                     }
                 }
@@ -519,30 +558,44 @@
     private DataNode chooseNode(Duration now, Part part) {
         List<DataNode> replicas = fleet.replicas(part.shard);
         DataNode best = null;
-        int bestRank = Integer.MAX_VALUE;
+        double bestRank = Double.MAX_VALUE;
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
             Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY || !cold.allows(now, node, work, fleet)
-                    || !cold.allowsTaken(now, node, fleet.tookAt(part.shard, node), work, fleet)) {
+            if (node.readiness != Readiness.READY
+                    || !cold.allows(now, node, fleet.tookAt(part.shard, node), work, share(now, part, node))) {
                 continue;
             }
             // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
-            int rank = suspect(now, node, part.query.vertical) ? 2
+            double rank = suspect(now, node, part.query.vertical) ? 2
                     : node.strikes > 0 && part.query.vertical.effect == Effect.SIDE_EFFECTING ? 1 : 0;
+            // Guards against a part's few calls spent within a round trip on holders that are all down: one that
+            // failed it gets it again once it is no longer left alone. It could hurt where it is back unnoticed.
             boolean here = false;
             for (LeafCall call : part.calls) {
                 rank += call.node == node ? 1 : 0;
-                here |= call.node == node && !call.ended;
+                here |= call.node == node && (!call.ended || node.avoidUntil != null);
             }
-            if (!here && (part.out.isEmpty() || rank == 0) && rank < bestRank) {
+            double load = calls.shared ? 0 : node.out.size() + (node.zone.ours ? 0 : CROSSING);
+            if (!here && (part.out.isEmpty() || rank == 0) && 100 * rank + load < bestRank) {
                 best = node;
-                bestRank = rank;
+                bestRank = 100 * rank + load;
             }
         }
         return best;
     }
 
+    /**
+     * What the node would get of this router's work, beside the mean node: it and the shard's sound holders. Guards
+     * too against all routers' parts that waited for a node that was down: what waited comes on top.
+     */
+    private double share(Duration now, Part part, DataNode node) {
+        List<DataNode> replicas = fleet.replicas(part.shard);
+        long sound = replicas.stream().filter(other -> other != node && other.readiness == Readiness.READY
+                && !cold.cold(now, other.coldSince()) && !suspect(now, other, part.query.vertical)).count();
+        return (1 + cold.windows(now.minus(part.query.arrivedAt))) * replicas.size() / (1 + sound) / fleet.size();
+    }
+
     // ---- health of nodes, from our own leaf calls alone
 
     /**
@@ -563,7 +616,9 @@
         DataNode node = call.node;
         Vertical v = call.part.query.vertical;
         if (outcome == Outcome.MERGED) {
-            Duration known = v.quietTime == null ? took : v.quietTime;
+            // The first answer may be a slow one, and of a rare vertical the next comes late: what the nodes
+            // are like to the others is taken off it.
+            Duration known = v.quietTime == null ? times(took, 1 / usualSlowness(now)) : v.quietTime;
             double weight = took.compareTo(known) < 0 ? QUIET_FALL
                     : Math.min(QUIET_RISE, seconds(now.minus(v.quietAt)) / QUIET_SPAN);
             v.quietAt = now;
@@ -732,10 +787,10 @@
     }
 
     /** What may be done with leaf calls; what is not stated is not permitted. */
-    public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe) {
-        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe) {
+    public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe, boolean shared) {
+        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe, Integer partsACall) {
             this(most == null ? 1 : most, Boolean.TRUE.equals(mayDuplicate), Boolean.TRUE.equals(mayCancel),
-                    Boolean.TRUE.equals(mayProbe));
+                    Boolean.TRUE.equals(mayProbe), partsACall == null || partsACall > 1);
         }
     }
 
@@ -822,29 +877,31 @@
             }
         }
 
-        /** Capacity is taken as it was when the window began, so every window is within its budget. */
-        boolean allows(Duration now, DataNode node, Duration work, Fleet fleet) {
-            return allows(now, node.startedAt, node.workSent, node.lot, work, fleet);
+        double windows(Duration waited) {
+            return span == null ? 0 : seconds(waited) / seconds(span);
+        }
+
+        boolean cold(Duration now, Duration since) {
+            return span != null && ramp != null && multiple != null && since != null
+                    && now.minus(since).compareTo(ramp.plus(span)) < 0;
         }
 
         /**
-         * Guards against a rush on shards that a node took over just now, whose data is not warm there: for
-         * them it counts as cold, with all that it lately took. What else it holds is not held back.
+         * Capacity is taken as it was when the window began, so every window is within its budget. Also guards
+         * against a rush on shards that a node took over just now, whose data is not warm there: for them it
+         * counts as cold, with all that it lately took. What else it holds is not held back.
          */
-        boolean allowsTaken(Duration now, DataNode node, Duration tookAt, Duration work, Fleet fleet) {
-            return tookAt == null || allows(now, tookAt, node.takenSent, node.lot, work, fleet);
+        boolean allows(Duration now, DataNode node, Duration tookAt, Duration work, double share) {
+            return allows(now, node.coldSince(), node.workSent, node.lot, work, share)
+                    && (tookAt == null || allows(now, tookAt, node.takenSent, node.lot, work, share));
         }
 
         private boolean allows(Duration now, Duration since, TimeRing ring, double lot, Duration work,
-                Fleet fleet) {
-            if (span == null || ramp == null || multiple == null || since == null) {
-                return true;
-            }
-            Duration age = now.minus(since);
-            if (age.compareTo(ramp.plus(span)) >= 0) {
+                double share) {
+            if (!cold(now, since)) {
                 return true;
             }
-            double risen = Math.max(0, seconds(age.minus(span)) / seconds(ramp));
+            double risen = Math.max(0, seconds(now.minus(since).minus(span)) / seconds(ramp));
             double rate = multiple * (from * (1 - risen) + risen) * WARM_WORK;
             double sent = ring == null ? 0 : ring.atLeast(now, span);
             double after = sent + seconds(work);
@@ -852,7 +909,7 @@
                 return true;
             }
             double measured = Math.min(seconds(SHARE_SPAN), Math.max(1, seconds(now)));
-            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * fleet.reach() / fleet.size();
+            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * share;
             return routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
                     && lot * usual * routers < COLD_LOT * rate;
         }
--- a/src/main/java/postbeam/benchlink/Door.java
+++ b/src/main/java/postbeam/benchlink/Door.java
@@ -131,7 +131,7 @@
         if (entries == null) {
             throw new IllegalArgumentException("no list " + slot);
         }
-        instance.listed(entries, scope == SCOPE_FULL || scope == SCOPE_CACHED);
+        instance.listed(now, entries, scope == SCOPE_FULL || scope == SCOPE_CACHED);
     }
 
     private void readList() throws IOException {
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -23,6 +23,7 @@
 /** One instance at the door: turns ids into objects and back, and writes what its Decide has done. */
 final class Instance implements Host {
     private static final int COST_HINT_IS_VALID = 1;
+    private static final int REPEAT = 2;
 
     private final int id;
     private final long startMicros;
@@ -57,8 +58,8 @@
 
     // ---- in: the host list
 
-    void listed(List<Entry> entries, boolean whole) {
-        roster.listed(entries, whole, this::since, decide);
+    void listed(Duration now, List<Entry> entries, boolean whole) {
+        roster.listed(now, entries, whole, this::since, decide);
     }
 
     // ---- in: queries, parts, leaf calls
@@ -80,6 +81,7 @@
                 throw new IllegalArgumentException("a vertical that the settings lack");
             }
             Query query = new Query(vertical, customers.get(group), now, now.plus(left));
+            query.repeat = (attrs & REPEAT) != 0;
             queries.put(job, query);
             byNumber.put(number, query);
             numbers.put(query, number);
--- a/src/main/java/postbeam/rig/VirtualRouter.java
+++ b/src/main/java/postbeam/rig/VirtualRouter.java
@@ -68,7 +68,7 @@
         Referee.Rules rules = World.rules();
         decide = new Decide(this, new Random(seed), new Fleet(slicing.holders()),
                 new Decide.Held(400, world.plan.routers(), null, Duration.ofMillis(500)),
-                new Decide.Calls(3, true, true, true),
+                new Decide.Calls(3, true, true, true, 16),
                 new Decide.FurtherCalls(rules.freeFurther(), rules.furtherShare(), rules.furtherSpan()),
                 new Decide.ColdPacing(rules.coldFrom(), rules.ramp(), rules.fallMultiple(), rules.fall(),
                         world.plan.routers(), Duration.ofMillis(1)),
@@ -83,7 +83,7 @@
             return;
         }
         listVersion = version;
-        roster.listed(entries, true, micros -> Duration.ofNanos(micros * 1000), decide);
+        roster.listed(world.now(), entries, true, micros -> Duration.ofNanos(micros * 1000), decide);
         turnEnded();
     }
 
--- a/src/main/java/postbeam/roster/Roster.java
+++ b/src/main/java/postbeam/roster/Roster.java
@@ -45,7 +45,7 @@
     }
 
     /** Takes over a whole list, from which what is missing is gone, or changes of one. */
-    public void listed(List<Entry> entries, boolean whole, LongFunction<Duration> since, Decide decide) {
+    public void listed(Duration now, List<Entry> entries, boolean whole, LongFunction<Duration> since, Decide decide) {
         Set<String> seen = new HashSet<>();
         for (Entry entry : entries) {
             seen.add(entry.name());
@@ -59,14 +59,14 @@
                 nodes.put(entry.name(), node);
                 names.put(node, entry.name());
             }
-            listed(node, entry.readiness(),
+            listed(now, node, entry.readiness(),
                     entry.startedMicros() == 0 ? null : since.apply(entry.startedMicros()), decide);
         }
         if (whole) {
             for (Map.Entry<String, DataNode> known : new ArrayList<>(nodes.entrySet())) {
                 if (!seen.contains(known.getKey())) {
                     DataNode node = known.getValue();
-                    listed(node, Readiness.GONE, node.startedAt, decide);
+                    listed(now, node, Readiness.GONE, node.startedAt, decide);
                 }
             }
         }
@@ -77,8 +77,8 @@
         }
     }
 
-    private void listed(DataNode node, Readiness readiness, Duration startedAt, Decide decide) {
-        decide.nodeListed(node, readiness, startedAt);
+    private void listed(Duration now, DataNode node, Readiness readiness, Duration startedAt, Decide decide) {
+        decide.nodeListed(now, node, readiness, startedAt);
         if (readiness == Readiness.GONE) {
             gone.add(node);
         } else {
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -205,7 +205,7 @@
             Duration now = now();
             turn(null, now, () -> {
                 decide.listAnswered(now, false);
-                roster.listed(told.entries(), told.whole(),
+                roster.listed(now, told.entries(), told.whole(),
                         micros -> Duration.ofNanos((micros - startUnixMicros) * 1000), decide);
                 // Before the turn ends: it may send to a node told of just now.
                 told.addresses().forEach((name, address) -> {
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -11,6 +11,8 @@
     public Readiness readiness = Readiness.READY;
     /** When it last started; null: not known, or long ago. */
     public Duration startedAt;
+    /** When it last could not be reached, unless it is known to have started since; null: never. */
+    public Duration downAt;
     /** The leaf calls without an outcome yet, oldest first. */
     public final Set<LeafCall> out = new LinkedHashSet<>();
 
@@ -35,6 +37,11 @@
         this.zone = zone;
     }
 
+    /** From when on it may have been cold: the list tells of a start late. Null: not known, or long ago. */
+    public Duration coldSince() {
+        return downAt == null || startedAt != null && startedAt.compareTo(downAt) > 0 ? startedAt : downAt;
+    }
+
     /** Calls out, where parts sent in one turn count as one. */
     public int callsOut() {
         int calls = 0;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -14,7 +14,6 @@
 import postbeam.state.Customer;
 import postbeam.state.DataNode;
 import postbeam.state.Effect;
-import postbeam.state.Fleet;
 import postbeam.state.LeafCall;
 import postbeam.state.Outcome;
 import postbeam.state.Part;
@@ -168,7 +167,7 @@
 
     @Test
     void aQueryThatNoNodeCanTakeIsRejectedSoonest() {
-        given.nodes.forEach(n -> given.decide.nodeListed(n, Readiness.DRAINING, null));
+        given.nodes.forEach(n -> given.decide.nodeListed(ms(0), n, Readiness.DRAINING, null));
         given.query(ms(0), repeatable, 1);
         given.decide.turnEnded(ms(150));
         assertEquals(List.of(), given.ended);
@@ -178,8 +177,8 @@
 
     @Test
     void nothingGoesToADrainingNode() {
-        given.decide.nodeListed(given.nodes.get(0), Readiness.DRAINING, null);
-        given.decide.nodeListed(given.nodes.get(1), Readiness.GONE, null);
+        given.decide.nodeListed(ms(0), given.nodes.get(0), Readiness.DRAINING, null);
+        given.decide.nodeListed(ms(0), given.nodes.get(1), Readiness.GONE, null);
         given.query(ms(10), repeatable, 6);
         given.decide.turnEnded(ms(10));
         assertEquals(6, given.sent.size());
@@ -253,10 +252,10 @@
         DataNode node = new DataNode(0, new Zone(true));
         node.workSent = cold.ring();
         node.startedAt = ms(0);
-        assertTrue(cold.allows(ms(10), node, ms(150), new Fleet(1, 1)));
+        assertTrue(cold.allows(ms(10), node, null, ms(150), 1));
         node.workSent.add(ms(10), 0.3);
-        assertFalse(cold.allows(ms(900), node, ms(150), new Fleet(1, 1)));
-        assertTrue(cold.allows(ms(11_000), node, ms(5000), new Fleet(1, 1)));
+        assertFalse(cold.allows(ms(900), node, null, ms(150), 1));
+        assertTrue(cold.allows(ms(11_000), node, null, ms(5000), 1));
     }
 
     @Test
@@ -343,17 +342,15 @@
     @Test
     void manyRoutersDrawLotsForAColdNode() {
         var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 100, ms(20));
-        Fleet fleet = new Fleet(1, 1);
         DataNode node = new DataNode(0, new Zone(true));
         node.workSent = cold.ring();
         node.startedAt = ms(0);
-        fleet.add(node);
         node.lot = 0.01;
-        assertTrue(cold.allows(ms(10), node, ms(80), fleet));
+        assertTrue(cold.allows(ms(10), node, null, ms(80), 1));
         cold.sent(ms(10), node, null, ms(80));
-        assertFalse(cold.allows(ms(500), node, ms(80), fleet));
+        assertFalse(cold.allows(ms(500), node, null, ms(80), 1));
         node.lot = 0.99;
-        assertFalse(cold.allows(ms(2000), node, ms(80), fleet));
+        assertFalse(cold.allows(ms(2000), node, null, ms(80), 1));
     }
 
     /** Calls to so many nodes of another zone, of which the first so many fail; the last node stays untouched. */
@@ -362,12 +359,12 @@
         Query q = new Query(repeatable, null, ms(0), Given.DEADLINE);
         for (int i = 0; i < called; i++) {
             DataNode node = new DataNode(0, zone);
-            given.decide.nodeListed(node, Readiness.READY, null);
+            given.decide.nodeListed(ms(0), node, Readiness.READY, null);
             ends(given, ms(100), new LeafCall(new Part(q, i, 0.1, null), node, ms(0), null),
                     i < failed ? Outcome.UNREACHABLE : Outcome.MERGED);
         }
         DataNode untouched = new DataNode(0, zone);
-        given.decide.nodeListed(untouched, Readiness.READY, null);
+        given.decide.nodeListed(ms(0), untouched, Readiness.READY, null);
         for (DataNode node : given.nodes) {
             new LeafCall(new Part(q, 9, 0.1, null), node, ms(100), null);
         }
--- a/src/test/java/postbeam/Given.java
+++ b/src/test/java/postbeam/Given.java
@@ -35,12 +35,12 @@
 
     Given(int nodeCount, boolean mayDuplicate, Decide.Asking asking) {
         decide = new Decide(this, new Random(1), new Fleet(1, 1), new Decide.Held(100, 1, 0.1, null),
-                new Decide.Calls(3, mayDuplicate, true, true), new Decide.FurtherCalls(null, null, null),
+                new Decide.Calls(3, mayDuplicate, true, true, 16), new Decide.FurtherCalls(null, null, null),
                 new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 1, ms(20)),
                 asking);
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new DataNode(0, zone));
-            decide.nodeListed(nodes.get(i), Readiness.READY, null);
+            decide.nodeListed(ms(0), nodes.get(i), Readiness.READY, null);
         }
     }
 
--- a/src/test/java/postbeam/RosterTest.java
+++ b/src/test/java/postbeam/RosterTest.java
@@ -17,7 +17,7 @@
     private final Roster roster = new Roster("a");
 
     private void listed(String name, Readiness readiness, boolean whole) {
-        roster.listed(List.of(new Entry(name, "a", 0, 0, readiness)), whole, micros -> Duration.ZERO, given.decide);
+        roster.listed(Duration.ZERO, List.of(new Entry(name, "a", 0, 0, readiness)), whole, micros -> Duration.ZERO, given.decide);
     }
 
     @Test
