--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -33,8 +33,8 @@
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
     private static final double STUCK_SHARE = 0.5;
-    /** Shares of the SLO time between which a leaf call becomes overdue: room is left for a second try. */
-    private static final double OVERDUE_LEAST = 0.15;
+    /** Shares of the SLO time between which a leaf call becomes overdue: a second try is in time, none is rash. */
+    private static final double OVERDUE_LEAST = 0.45;
     private static final double OVERDUE_MOST = 0.6;
     /** Times the usual time that the slowest of many parts takes: past this one is no longer just unlucky. */
     private static final double SLOWEST_TIMES = 2.5;
@@ -65,8 +65,6 @@
     private static final double QUIET_SPAN = 20; // seconds of creeping at least: a short jam is not quiet
     /** Share of the SLO time taken for a part's quiet time before any answer has shown it. */
     private static final double QUIET_GUESS = 0.1;
-    /** Parts out that crossing to another zone counts for, where parts of a query share no calls. */
-    private static final double CROSSING = 0.5;
     /** Calls that a suspect node counts for when an offset is chosen: more than a sound one mostly has. */
     private static final int SUSPECT_CALLS = 4;
     /** Seconds of work a second that a warm node does at least: two cores'; smaller machines are rare. */
@@ -190,7 +188,8 @@
         further.taken().add(now, 1);
     }
 
-    public void leafCallEnded(Duration now, LeafCall call, Outcome outcome, Duration took, boolean partOver) {
+    public void leafCallEnded(Duration now, LeafCall call, Outcome outcome, Duration took, boolean partOver,
+            Report report) {
         call.end();
         inFlight--;
         Part part = call.part;
@@ -204,6 +203,10 @@
             halvedAt = now;
             window = Math.max(leastWindow(), window / 2);
         }
+        if (report != null) {
+            call.node.report = report;
+            call.node.reportedAt = now;
+        }
         learn(now, call, outcome, took);
         if (outcome == Outcome.UNREACHABLE) {
             call.node.downAt = now;
@@ -576,7 +579,7 @@
                 rank += call.node == node ? 1 : 0;
                 here |= call.node == node && (!call.ended || node.avoidUntil != null);
             }
-            double load = calls.shared ? 0 : node.out.size() + (node.zone.ours ? 0 : CROSSING);
+            double load = calls.shared ? 0 : (1 + node.out.size()) * beside(now, node);
             if (!here && (part.out.isEmpty() || rank == 0) && 100 * rank + load < bestRank) {
                 best = node;
                 bestRank = 100 * rank + load;
@@ -585,6 +588,12 @@
         return best;
     }
 
+    /** How slow the node lately was beside the usual one: work, waiting and the way there; 1 where not known. */
+    private double beside(Duration now, DataNode node) {
+        boolean lately = node.slowness > 0 && node.answeredSince(now.minus(HEALTH_MEMORY));
+        return lately ? node.slowness / usualSlowness(now) : 1;
+    }
+
     /**
      * What the node would get of this router's work, beside the mean node: it and the shard's sound holders. Guards
      * too against all routers' parts that waited for a node that was down: what waited comes on top.
@@ -608,8 +617,7 @@
         return node.avoidUntil != null || node.strikes > 0 && oldest != null || shunned(now, node.zone)
                 || oldest != null && (silent(now, oldest)
                 || now.minus(oldest.sentAt).compareTo(times(v.sloTime, STUCK_SHARE)) > 0)
-                || node.slowness > SLOW_TIMES * usualSlowness(now) && node.lastAnswerAt != null
-                && now.minus(node.lastAnswerAt).compareTo(HEALTH_MEMORY) < 0;
+                || beside(now, node) > SLOW_TIMES;
     }
 
     private void learn(Duration now, LeafCall call, Outcome outcome, Duration took) {
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -18,6 +18,7 @@
 import postbeam.state.Outcome;
 import postbeam.state.Part;
 import postbeam.state.Query;
+import postbeam.state.Report;
 import postbeam.state.Vertical;
 
 /** One instance at the door: turns ids into objects and back, and writes what its Decide has done. */
@@ -106,11 +107,13 @@
         Outcome outcome = outcome(in.text());
         boolean over = "1".equals(in.field());
         Duration took = Duration.ofNanos(in.number(0) * 1000);
+        in.field();
+        Report report = in.more() ? report(in.field()) : null;
         Part part = parts.get(job);
         if (part == null || hop >= part.calls.size() || part.calls.get(hop).ended) {
             return;
         }
-        decide.leafCallEnded(now, part.calls.get(hop), outcome, took, over);
+        decide.leafCallEnded(now, part.calls.get(hop), outcome, took, over, report);
         forgetIfDone(part.query);
     }
 
@@ -130,6 +133,20 @@
         }
     }
 
+    /** From name:value pairs; names that are not known are passed over. */
+    private static Report report(String pairs) {
+        if (pairs == null) {
+            return null;
+        }
+        Map<String, Double> told = new HashMap<>();
+        for (String pair : pairs.split(",")) {
+            int colon = pair.indexOf(':');
+            told.put(pair.substring(0, Math.max(0, colon)), Double.valueOf(pair.substring(colon + 1)));
+        }
+        Double millis = told.get("svc_ms");
+        return new Report(told.get("cpu_share"), told.get("busy_reqs"), millis == null ? null : millis / 1000);
+    }
+
     static Outcome outcome(String code) {
         return switch (code) {
             case "ok" -> Outcome.MERGED;
--- a/src/main/java/postbeam/rig/VirtualRouter.java
+++ b/src/main/java/postbeam/rig/VirtualRouter.java
@@ -130,7 +130,7 @@
         if (q != null && outcome == Outcome.MERGED) {
             q.values.putIfAbsent(call.part, value);
         }
-        decide.leafCallEnded(world.now(), call, outcome, world.now().minus(call.sentAt), call.part.query.ended);
+        decide.leafCallEnded(world.now(), call, outcome, world.now().minus(call.sentAt), call.part.query.ended, null);
         if (outcome == Outcome.MOVED) {
             slicing.left(call.part, call.node);
             world.after(Slicing.LEFT_FOR, () -> {
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -433,7 +433,7 @@
             // Its client may have named a time of many hours: nothing is kept for that long.
             timers.remove(ended.timer());
             ended.call().end();
-            decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended);
+            decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended, null);
             if (slicing != null) {
                 recut(leaf, outcome);
             }
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -27,7 +27,7 @@
     private final Vertical repeatable = Given.vertical(Effect.REPEATABLE, 1);
 
     private void ends(Given at, Duration now, LeafCall call, Outcome outcome) {
-        at.decide.leafCallEnded(now, call, outcome, now.minus(call.sentAt), false);
+        at.decide.leafCallEnded(now, call, outcome, now.minus(call.sentAt), false, null);
     }
 
     @Test
@@ -75,7 +75,7 @@
             given.query(ms(10 * i), repeatable, 1);
             given.decide.turnEnded(ms(10 * i));
             LeafCall call = given.sent.get(given.sent.size() - 1);
-            given.decide.leafCallEnded(ms(10 * i), call, Outcome.MERGED, ms(500), false);
+            given.decide.leafCallEnded(ms(10 * i), call, Outcome.MERGED, ms(500), false, null);
         }
         assertTrue(repeatable.quietTime.compareTo(ms(50)) < 0, repeatable.quietTime.toString());
         assertTrue(repeatable.quietTime.compareTo(ms(20)) > 0, repeatable.quietTime.toString());
