The second step goes, asking discovery gets a module, advice follows caps.retryAfter

Taken out of Decide, Query, Vertical and the doors; the refusal at the start stays.
- Asking discovery moves from Decide to roster.Asking, a module with no I/O, clock or thread, as it paces calls; tests with it.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -33,7 +33,7 @@
     private static final double SPARE_SHARE = 0.1;
     /** Share of the SLO time after which a part out marks its node as stuck, as the design page has it. */
     private static final double STUCK_SHARE = 0.5;
-    /** Shares of the SLO time between which a leaf call becomes overdue: a second try is in time, none is rash. */
+    /** Shares of the SLO time between which a leaf call becomes overdue: a second try is in time. */
     private static final double OVERDUE_LEAST = 0.45;
     private static final double OVERDUE_MOST = 0.6;
     /** Times the usual time that the slowest of many parts takes: past this one is no longer just unlucky. */
@@ -77,10 +77,10 @@
     private static final double COLD_CALLS = 8;
     /** Share of the limit on held queries and parts from which the router is crowded. */
     private static final double CROWDED_SHARE = 0.7;
-    /** How long a crashed node counts as a sign of queries that crash nodes, and how many such tell of them. */
+    /** How long a crash counts as a sign of queries that crash nodes, and how many such tell of them. */
     private static final Duration CRASH_MEMORY = Duration.ofSeconds(10);
     private static final int CRASHES_LEAST = 2;
-    /** Parts of a query reset, none merged, from which it is held to crash nodes: any call may meet one crash. */
+    /** Resets of a query with none merged, from which it is held to crash nodes: any call may meet one. */
     private static final int RESETS_MOST = 2;
     /** How long customers' queries and this router's work are counted; queries a customer may be ahead. */
     private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
@@ -91,9 +91,6 @@
     private static final Duration LAST_WORD = LOOK.multipliedBy(3);
     /** Time a client is told to wait after a rejection while the router is crowded. */
     private static final Duration COME_BACK = Duration.ofMillis(300);
-    /** First pause after discovery failed, doubled each time; and time after which an ask counts as failed. */
-    private static final Duration ASK_PAUSE = Duration.ofMillis(500);
-    private static final Duration ASK_UNANSWERED = Duration.ofSeconds(5);
     /** Weights of parts add up to 1 but for rounding. */
     private static final double ROUNDING = 0.00005;
     /** Buckets in which a span is kept: coarse enough to be cheap, fine enough to lose a fiftieth. */
@@ -106,7 +103,6 @@
     private final Calls calls;
     private final FurtherCalls further;
     private final ColdPacing cold;
-    private final Asking asking;
     private final List<Query> open = new ArrayList<>();
     private final Set<Zone> zones = new LinkedHashSet<>();
     private final Set<DataNode> resting = new LinkedHashSet<>();
@@ -115,16 +111,14 @@
     private int inFlight;
     /** Nodes that the list tells to have died or started anew with no drain before. */
     private final TimeRing crashes = new TimeRing(CRASH_MEMORY, BUCKETS);
-    private boolean crowded;
-    /** When the host was last asked to wake it; null: never, or it has. */
-    private Duration wakeAt;
+    private boolean waking, crowded;
     /** Spares in flight: parts out beyond what their queries still need. */
     private int spares;
     private Duration usualAt;
     private double usual;
 
     public Decide(Host host, Random chance, Fleet fleet, Held held, Calls calls, FurtherCalls further,
-            ColdPacing cold, Asking asking) {
+            ColdPacing cold) {
         this.host = host;
         this.chance = chance;
         this.fleet = fleet;
@@ -132,11 +126,11 @@
         this.calls = calls;
         this.further = further;
         this.cold = cold;
-        this.asking = asking;
         // Our zone first, then by place within a shard's reach: one offset leads neighbouring shards to the
         // same nodes, and their parts share calls, which have a cost.
         if (calls.shared) {
-            fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : fleet.reach()) + n.cell % fleet.reach()));
+            int reach = fleet.reach();
+            fleet.order(Comparator.comparingInt(n -> (n.zone.ours ? 0 : reach) + n.cell % reach));
         }
     }
 
@@ -173,11 +167,6 @@
         }
     }
 
-    /** Discovery has answered or told of changes; or else a call to it failed, or the watch broke. */
-    public void listAnswered(Duration now, boolean failed) {
-        asking.answered(now, failed, chance);
-    }
-
     public void queryArrived(Duration now, Query q) {
         open.add(q);
         further.taken().add(now, 1);
@@ -188,8 +177,7 @@
         further.taken().add(now, 1);
     }
 
-    public void leafCallEnded(Duration now, LeafCall call, Outcome outcome, Duration took, boolean partOver,
-            Report report) {
+    public void leafCallEnded(Duration now, LeafCall call, Outcome outcome, Duration took, boolean partOver) {
         call.end();
         inFlight--;
         Part part = call.part;
@@ -203,18 +191,10 @@
             halvedAt = now;
             window = Math.max(leastWindow(), window / 2);
         }
-        if (report != null) {
-            call.node.report = report;
-            call.node.reportedAt = now;
-        }
         learn(now, call, outcome, took);
-        if (outcome == Outcome.UNREACHABLE) {
-            call.node.downAt = now;
-        }
-        if (outcome == Outcome.RESET) {
-            q.resets++;
-            q.poisoned |= call.scout && q.resets >= (q.repeat ? 1 : RESETS_MOST);
-        }
+        call.node.downAt = outcome == Outcome.UNREACHABLE ? now : call.node.downAt;
+        q.resets += outcome == Outcome.RESET ? 1 : 0;
+        q.poisoned |= outcome == Outcome.RESET && call.scout && q.resets >= (q.repeat ? 1 : RESETS_MOST);
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
             // Guards against a wide window while every node is slow, which no rejection tells: late parts
@@ -234,7 +214,7 @@
     }
 
     public void woken(Duration now) {
-        wakeAt = null;
+        waking = false;
     }
 
     public void probed(Duration now, DataNode node, boolean answered) {
@@ -255,14 +235,9 @@
         lookAfter(now);
         open.forEach(q -> callBack(now, q));
         fill(now);
-        if (asking.due(now)) {
-            host.watchList();
-        }
-        Duration look = open.isEmpty() ? null : now.plus(LOOK);
-        Duration next = look == null || asking.at == null ? look == null ? asking.at : look : min(look, asking.at);
-        if (next != null && (wakeAt == null || next.compareTo(wakeAt) < 0)) {
-            wakeAt = next;
-            host.wakeAfter(next.minus(now));
+        if (!open.isEmpty() && !waking) {
+            waking = true;
+            host.wakeAfter(LOOK);
         }
     }
 
@@ -271,14 +246,14 @@
     private void settle(Duration now, Query q) {
         double in = q.mergedWeight();
         double possible = q.weightOf(part -> part.merged || !part.out.isEmpty() || mayStillSend(now, part));
-        boolean waiting = q.step == 2 && q.parts.isEmpty();
         Duration left = q.deadline.minus(now);
-        if (!waiting && in + ROUNDING >= q.needed()) {
-            answerWhole(q);
-        } else if (left.compareTo(LAST_WORD) <= 0 || q.poisoned || partialIsBest(now, q, in) || !q.parts.isEmpty()
-                && (possible + ROUNDING < q.needed()
+        if (in + ROUNDING >= q.vertical.need) {
+            end(q);
+            host.answer(q, true);
+        } else if (left.compareTo(LAST_WORD) <= 0 || q.poisoned || partialIsBest(now, q, in)
+                || possible + ROUNDING < q.vertical.need
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)
-                || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q))) {
+                || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q)) {
             giveUp(now, q);
         }
     }
@@ -313,7 +288,7 @@
      * While nothing else is out it is tried: what was learnt may be out of date.
      */
     private boolean hopeless(Duration now, Query q) {
-        double slowest = q.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
+        double slowest = q.vertical.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
         Duration left = min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now);
         return inFlight > 0 && q.vertical.quietTime != null
                 && left.compareTo(usualTime(now, q.vertical, slowest)) < 0;
@@ -336,26 +311,13 @@
         });
     }
 
-    private void answerWhole(Query q) {
-        if (q.step == 1 && q.vertical.followUp > 0) {
-            q.parts.forEach(this::cancelAll);
-            q.firstStepParts.addAll(q.parts);
-            q.parts.clear();
-            q.step = 2;
-        } else {
-            end(q);
-        }
-        host.answer(q, true);
-    }
-
     /** The final answer at once: from what is in where the floor allows it, else rejected where harmless. */
     private void giveUp(Duration now, Query q) {
         double in = q.mergedWeight();
-        boolean lastStep = q.step == 2 || q.vertical.followUp == 0;
-        boolean harmless = q.vertical.effect == Effect.REPEATABLE || q.firstStepParts.isEmpty()
-                && q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
+        boolean harmless = q.vertical.effect == Effect.REPEATABLE
+                || q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
         end(q);
-        if (lastStep && in > 0 && in + ROUNDING >= q.vertical.floor) {
+        if (in > 0 && in + ROUNDING >= q.vertical.floor) {
             host.answer(q, false);
         } else if (harmless) {
             host.reject(q, held.comeBack(crowded));
@@ -403,8 +365,7 @@
 
     private void fill(Duration now) {
         // A lost call holds no slot: else links that swallow calls would fill the window.
-        int lost = open.stream()
-                .mapToInt(q -> q.count(part -> !part.out.isEmpty() && !counted(now, part))).sum();
+        int lost = open.stream().mapToInt(q -> q.count(p -> !p.out.isEmpty() && !counted(now, p))).sum();
         if (inFlight - lost >= window) {
             return;
         }
@@ -432,11 +393,9 @@
 
     /** Sends the query's next part; false where none. In a narrow window a spare lengthens the wait. */
     private boolean sendNext(Duration now, Query q, int value) {
-        if (value <= 0 && (!q.anyN() || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
-                || q.anyN() && q.out() > q.alpha()) {
-            return false;
-        }
-        if (scouted(now, q) && delta(now, q) > 0) {
+        boolean anyN = q.vertical.anyN();
+        if (value <= 0 && (!anyN || window < WINDOW_START || spares + 1 > SPARE_SHARE * (inFlight + 1))
+                || anyN && q.out() > q.alpha() || scouted(now, q) && delta(now, q) > 0) {
             return false;
         }
         chooseOffset(now, q);
@@ -449,7 +408,7 @@
             }
             DataNode node = chooseNode(now, part);
             // First parts before copies; where any n will do, those whose nodes have least to do.
-            int rank = (part.out.isEmpty() ? 0 : 1000) + (node == null || !q.anyN() ? 0
+            int rank = (part.out.isEmpty() ? 0 : 1000) + (node == null || !anyN ? 0
                     : node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0));
             if (node != null && rank < bestRank) {
                 bestPart = part;
@@ -465,12 +424,12 @@
     }
 
     /**
-     * Guards against a query whose parts crash the nodes that begin them: while nodes crash, one part goes ahead
-     * and the others follow once one is merged; a query that lost such a part, and one before, is given up. It
-     * costs the time of one part, and could hurt where nodes crash for other reasons and time is short.
+     * Guards against a query whose parts crash the nodes that begin them: while nodes crash, one part goes
+     * ahead and the others follow once one is merged; a query that lost such a part, and one before, is given
+     * up. It costs the time of a part, and could hurt where nodes crash for other reasons and time is short.
      */
     private boolean scouted(Duration now, Query q) {
-        return q.step == 1 && q.count(part -> part.merged) == 0
+        return q.count(part -> part.merged) == 0
                 && (q.resets > 0 || crashes.atLeast(now, CRASH_MEMORY) >= CRASHES_LEAST);
     }
 
@@ -499,7 +458,7 @@
      */
     private void callBack(Duration now, Query q) {
         Vertical v = q.vertical;
-        if (calls.mayDuplicate && (!q.anyN() || q.out() <= q.alpha())) {
+        if (calls.mayDuplicate && (!q.vertical.anyN() || q.out() <= q.alpha())) {
             return;
         }
         for (Part part : q.parts) {
@@ -566,14 +525,15 @@
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
             Duration work = cold.work(part, quiet(part.query.vertical));
             if (node.readiness != Readiness.READY
-                    || !cold.allows(now, node, fleet.tookAt(part.shard, node), work, share(now, part, node))) {
+                    || !cold.allows(now, node, fleet.tookAt(part.shard, node), work,
+                            share(now, part, node))) {
                 continue;
             }
             // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
             double rank = suspect(now, node, part.query.vertical) ? 2
                     : node.strikes > 0 && part.query.vertical.effect == Effect.SIDE_EFFECTING ? 1 : 0;
-            // Guards against a part's few calls spent within a round trip on holders that are all down: one that
-            // failed it gets it again once it is no longer left alone. It could hurt where it is back unnoticed.
+            // Guards against a part's few calls spent within a round trip on holders that are all down: one
+            // that failed it gets it again once no longer left alone. It could hurt where it is back unseen.
             boolean here = false;
             for (LeafCall call : part.calls) {
                 rank += call.node == node ? 1 : 0;
@@ -588,21 +548,22 @@
         return best;
     }
 
-    /** How slow the node lately was beside the usual one: work, waiting and the way there; 1 where not known. */
+    /** How slow the node lately was beside the usual one, with waiting and the way; 1 where not known. */
     private double beside(Duration now, DataNode node) {
         boolean lately = node.slowness > 0 && node.answeredSince(now.minus(HEALTH_MEMORY));
         return lately ? node.slowness / usualSlowness(now) : 1;
     }
 
     /**
-     * What the node would get of this router's work, beside the mean node: it and the shard's sound holders. Guards
-     * too against all routers' parts that waited for a node that was down: what waited comes on top.
+     * What the node would get of this router's work beside the shard's sound holders. Guards too against all
+     * routers' parts that waited for a node that was down: what waited comes on top.
      */
     private double share(Duration now, Part part, DataNode node) {
         List<DataNode> replicas = fleet.replicas(part.shard);
         long sound = replicas.stream().filter(other -> other != node && other.readiness == Readiness.READY
                 && !cold.cold(now, other.coldSince()) && !suspect(now, other, part.query.vertical)).count();
-        return (1 + cold.windows(now.minus(part.query.arrivedAt))) * replicas.size() / (1 + sound) / fleet.size();
+        double waited = cold.span == null ? 0 : seconds(now.minus(part.query.arrivedAt)) / seconds(cold.span);
+        return (1 + waited) * replicas.size() / (1 + sound) / fleet.size();
     }
 
     // ---- health of nodes, from our own leaf calls alone
@@ -796,51 +757,13 @@
 
     /** What may be done with leaf calls; what is not stated is not permitted. */
     public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe, boolean shared) {
-        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe, Integer partsACall) {
+        public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe,
+                Integer partsACall) {
             this(most == null ? 1 : most, Boolean.TRUE.equals(mayDuplicate), Boolean.TRUE.equals(mayCancel),
                     Boolean.TRUE.equals(mayProbe), partsACall == null || partsACall > 1);
         }
     }
 
-    /**
-     * When discovery is asked for a watch, where it tells nothing unasked: at once, and again after a failure or
-     * no answer. Guards against a list that no longer changes, and against all routers asking again in step after
-     * an outage: each pause is drawn, and longer each time. It could hurt where a long pause outlasts the outage.
-     */
-    public static final class Asking {
-        private final boolean needed;
-        private final Duration longest;
-        private int failures;
-        /** When the next ask is due, while one is out when it counts as failed; null: not while the watch holds. */
-        private Duration at;
-
-        /** Null for the span in which a router has to ask where that is not stated. */
-        public Asking(boolean needed, Duration askEvery) {
-            this.needed = needed;
-            this.longest = askEvery == null ? ASK_UNANSWERED : askEvery;
-            this.at = needed ? Duration.ZERO : null;
-        }
-
-        boolean due(Duration now) {
-            if (at == null || now.compareTo(at) < 0) {
-                return false;
-            }
-            at = now.plus(ASK_UNANSWERED);
-            return true;
-        }
-
-        void answered(Duration now, boolean failed, Random chance) {
-            failures = failed ? failures + 1 : 0;
-            at = failed && needed ? now.plus(pause(failures, chance)) : null;
-        }
-
-        /** From half to one and a half times the pause, which doubles with each failure in a row. */
-        Duration pause(int failures, Random chance) {
-            Duration most = min(longest, ASK_PAUSE.multipliedBy(1L << Math.min(failures - 1, 10)));
-            return times(most, 0.5 + chance.nextDouble());
-        }
-    }
-
     /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
     public record FurtherCalls(Double free, Double share, Duration span, TimeRing taken, TimeRing sent) {
         public FurtherCalls(Double free, Double share, Duration span) {
@@ -885,17 +808,13 @@
             }
         }
 
-        double windows(Duration waited) {
-            return span == null ? 0 : seconds(waited) / seconds(span);
-        }
-
         boolean cold(Duration now, Duration since) {
             return span != null && ramp != null && multiple != null && since != null
                     && now.minus(since).compareTo(ramp.plus(span)) < 0;
         }
 
         /**
-         * Capacity is taken as it was when the window began, so every window is within its budget. Also guards
+         * Capacity is taken as it was when the window began, so each window is within its budget. Guards too
          * against a rush on shards that a node took over just now, whose data is not warm there: for them it
          * counts as cold, with all that it lately took. What else it holds is not held back.
          */
@@ -913,12 +832,10 @@
             double rate = multiple * (from * (1 - risen) + risen) * WARM_WORK;
             double sent = ring == null ? 0 : ring.atLeast(now, span);
             double after = sent + seconds(work);
-            if (after <= COLD_SAFETY * rate * seconds(span) / routers) {
-                return true;
-            }
             double measured = Math.min(seconds(SHARE_SPAN), Math.max(1, seconds(now)));
             double usual = allSent.atLeast(now, SHARE_SPAN) / measured * share;
-            return routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
+            return after <= COLD_SAFETY * rate * seconds(span) / routers
+                    || routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
                     && lot * usual * routers < COLD_LOT * rate;
         }
     }
--- a/src/main/java/postbeam/Host.java
+++ b/src/main/java/postbeam/Host.java
@@ -16,7 +16,7 @@
     /** Stops waiting for a leaf call; its outcome is still reported. */
     void cancel(LeafCall call);
 
-    /** Answers the query from its merged parts; for a query with a second step, ends the first. */
+    /** Answers the query from its merged parts. */
     void answer(Query query, boolean whole);
 
     /** Ends the query and tells the client that asking again is harmless, after a wait if one is advised. */
@@ -31,9 +31,6 @@
     /** Asks a node how it is; the result comes to {@link Decide#probed}. */
     void probe(DataNode node);
 
-    /** Asks discovery to tell of changes from now on; {@link Decide#listAnswered} tells how it went. */
-    void watchList();
-
     /** Adds a line to the operators' log. */
     void log(String text);
 }
--- a/src/main/java/postbeam/benchlink/Door.java
+++ b/src/main/java/postbeam/benchlink/Door.java
@@ -70,6 +70,7 @@
         }
         for (Instance instance : touched) {
             decided(instance, () -> instance.decide().turnEnded(instance.since(clock)));
+            instance.askDiscovery(instance.since(clock));
         }
     }
 
@@ -108,7 +109,7 @@
         switch (name) {
             case "INGRESS" -> instance.taken(now, in);
             case "REPORT_BACK" -> instance.reportedBack(now, in);
-            case "RING" -> instance.decide().woken(now);
+            case "RING" -> instance.rung(now, in);
             case "REGISTRY" -> registry(now, instance);
             case "ABANDONED" -> instance.abandoned(now, in);
             case "CHECKED" -> instance.probed(now, in);
@@ -122,7 +123,7 @@
         int slot = (int) in.number(0);
         int scope = (int) in.number();
         if (scope != SCOPE_CACHED) {
-            instance.decide().listAnswered(now, scope == SCOPE_FAILED);
+            instance.listAnswered(now, scope == SCOPE_FAILED);
         }
         if (scope == SCOPE_FAILED) {
             return;
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -204,7 +204,6 @@
         try {
             Duration now = now();
             turn(null, now, () -> {
-                decide.listAnswered(now, false);
                 roster.listed(now, told.entries(), told.whole(),
                         micros -> Duration.ofNanos((micros - startUnixMicros) * 1000), decide);
                 // Before the turn ends: it may send to a node told of just now.
@@ -433,7 +432,7 @@
             // Its client may have named a time of many hours: nothing is kept for that long.
             timers.remove(ended.timer());
             ended.call().end();
-            decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended, null);
+            decide.leafCallEnded(now, leaf, outcome, now.minus(leaf.sentAt), leaf.part.query.ended);
             if (slicing != null) {
                 recut(leaf, outcome);
             }
@@ -548,10 +547,6 @@
         });
     }
 
-    /** The list is followed by a thread of its own (discovery.Watch), which asks again by itself. */
-    @Override
-    public void watchList() { }
-
     @Override
     public void log(String text) {
         LOG.log(System.Logger.Level.INFO, text);
--- a/src/main/java/postbeam/setup/Assembly.java
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import postbeam.Decide;
 import postbeam.Host;
+import postbeam.roster.Asking;
 import postbeam.state.Customer;
 import postbeam.state.Effect;
 import postbeam.state.Fleet;
@@ -39,11 +40,10 @@
         Double need = info.listed("domain.classNeed", i);
         Double floor = info.listed("domain.leastShare", i);
         Double shortUtility = info.listed("domain.shortWorth", i);
-        Double followUp = info.listed("domain.followUp", i);
         double whole = need == null ? 1 : need;
         return new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
                 utility == null ? 1 : utility, late == null ? 0 : late, whole, floor == null ? whole : floor,
-                shortUtility == null ? 0 : shortUtility, followUp == null ? 0 : followUp.intValue());
+                shortUtility == null ? 0 : shortUtility);
     }
 
     public static Map<String, Customer> customers(Info info) {
@@ -59,7 +59,7 @@
         Integer routers = info.whole("nInstances");
         return new Decide(host, chance, fleet,
                 new Decide.Held(info.whole("caps.mostHeld"), routers, info.number("overShareWorth"),
-                        info.span("caps.maxRetryAfter")),
+                        Boolean.FALSE.equals(info.flag("caps.retryAfter")) ? null : info.span("caps.maxRetryAfter")),
                 new Decide.Calls(info.whole("caps.maxAttempts"), info.flag("caps.mayDuplicate"),
                         info.flag("caps.cancelling"), info.flag("caps.probes"),
                         info.whole("domain.partsACall")),
@@ -67,15 +67,15 @@
                         info.number("obligations.budgetShare"), info.span("obligations.extraWindow")),
                 new Decide.ColdPacing(info.number("obligations.coldFrom"), info.span("obligations.rampTime"),
                         info.number("obligations.fallMultiple"), info.span("obligations.fall"), routers,
-                        info.span("domain.callCost")), asking(info));
+                        info.span("domain.callCost")));
     }
 
     /** Whether discovery has to be asked; without the setting it tells by itself. */
-    public static Decide.Asking asking(Info info) {
+    public static Asking asking(Info info, Random chance) {
         String how = info.text("discovery");
         if (how != null && !how.equals("automatic") && !how.equals("subscribe")) {
             throw info.bad("discovery", "must be automatic or subscribe, not " + how);
         }
-        return new Decide.Asking("subscribe".equals(how), info.span("obligations.askEvery"));
+        return new Asking("subscribe".equals(how), info.span("obligations.askEvery"), chance);
     }
 }
--- a/src/main/java/postbeam/state/DataNode.java
+++ b/src/main/java/postbeam/state/DataNode.java
@@ -27,9 +27,6 @@
     public Duration lastAnswerAt;
     /** When the last sent of its answered calls was sent. */
     public Duration answeredSentAt;
-    /** Its last report of its load, and when that came; null before the first. */
-    public Report report;
-    public Duration reportedAt;
     /** When its zone last counted it. */
     public Duration countedAt;
     /** A probe is out. */
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -13,14 +13,9 @@
     public final Duration arrivedAt;
     /** When the client stops waiting. */
     public final Duration deadline;
-    /** Parts of the step that is under way. */
     public final List<Part> parts = new ArrayList<>();
-    /** Parts of the first step, once the second is under way. */
-    public final List<Part> firstStepParts = new ArrayList<>();
     /** Place in the replica lists of its shards; below 0 before it is chosen. */
     public int offset = -1;
-    /** 1 or 2; the second step's parts come after the first is answered. */
-    public int step = 1;
     public boolean ended;
     /** How weights count where slices are re-cut; null: each part counts by itself. */
     public Counting counting;
@@ -61,15 +56,6 @@
         return sum;
     }
 
-    /** Share of the step's weight that makes it whole; a second step needs all. */
-    public double needed() {
-        return step == 1 ? vertical.need : 1;
-    }
-
-    public boolean anyN() {
-        return step == 1 && vertical.anyN();
-    }
-
     public int count(Predicate<Part> which) {
         int count = 0;
         for (Part part : parts) {
@@ -85,7 +71,7 @@
         for (Part part : parts) {
             weight += part.merged ? 0 : part.weight;
         }
-        double share = (needed() - mergedWeight()) * unmerged / weight;
+        double share = (vertical.need - mergedWeight()) * unmerged / weight;
         return weight <= 0 ? unmerged : (int) Math.min(unmerged, Math.ceil(share - 0.001));
     }
 
@@ -96,6 +82,6 @@
 
     /** No leaf call was sent for it. */
     public boolean untouched() {
-        return step == 1 && count(part -> !part.calls.isEmpty()) == 0;
+        return count(part -> !part.calls.isEmpty()) == 0;
     }
 }
--- a/src/main/java/postbeam/state/Vertical.java
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -16,8 +16,6 @@
     public final double floor;
     /** What a partial answer earns, times share / need. */
     public final double shortUtility;
-    /** Parts of the second step; 0 where there is none. */
-    public final int followUp;
 
     /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
     public Duration quietTime;
@@ -25,7 +23,7 @@
     public Duration quietAt = Duration.ZERO;
 
     public Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
-            double need, double floor, double shortUtility, int followUp) {
+            double need, double floor, double shortUtility) {
         this.sloTime = sloTime;
         this.effect = effect;
         this.repeatWindow = repeatWindow;
@@ -34,7 +32,6 @@
         this.need = need;
         this.floor = floor;
         this.shortUtility = shortUtility;
-        this.followUp = followUp;
     }
 
     public boolean anyN() {
