The program reads what the new shape states; old and new instances are tested side by side

- `discovery` (automatic or subscribe; anything else ends the start with its key): where it is subscribe the watch's pauses after failures are drawn and doubled (roster.Asking), so that routers do not ask in step; without the setting 100 ms as before.
- MixedShapesTest: an instance in each shape before the same four nodes on loopback, one hangs, one drains: no part runs twice that may not, no two calls out where copies are barred, nothing after the grace, answers whole and in time, and neither gets under three quarters of the other's share.
It fails where an instance copies against its shape, and sees one that serves nothing as starved.
- Tests for what the move found: calls spent on holders that just failed the part, one part ahead while nodes crash, queries given up that crash nodes, a node that could not be reached counts as cold, a rare vertical's first time, unshared parts, no advice where it is not allowed.

--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -7,6 +7,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import java.util.function.ToLongFunction;
 
 /**
@@ -19,8 +20,8 @@
     private static final Duration WAIT = Duration.ofSeconds(20);
     /** How much longer than it may take an answer is waited for: by then it counts as told. */
     private static final Duration SLACK = Duration.ofSeconds(2);
-    /** Between a failed call and the next: soon enough for a watch to go on. */
-    private static final Duration PAUSE = Duration.ofMillis(100);
+    /** Between a failed call and the next, where the source costs nothing to ask: soon enough for a watch to go on. */
+    public static final IntFunction<Duration> SOON = failures -> Duration.ofMillis(100);
 
     /** Decodes a body; an IOException says what can't be used. */
     public interface Reading<T> {
@@ -34,15 +35,19 @@
     private final Reading<T> reading;
     private final ToLongFunction<T> version;
     private final Consumer<T> told;
+    /** How long to wait after so many failures in a row. */
+    private final IntFunction<Duration> pause;
     private volatile boolean stopped;
     private volatile HttpURLConnection call;
-    private boolean failing;
+    private int failures;
 
-    public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told) {
+    public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told,
+            IntFunction<Duration> pause) {
         this.source = source;
         this.reading = reading;
         this.version = version;
         this.told = told;
+        this.pause = pause;
     }
 
     @Override
@@ -59,19 +64,18 @@
                     told.accept(next);
                 }
                 last = version.applyAsLong(next);
-                if (failing) {
+                if (failures > 0) {
                     LOG.log(System.Logger.Level.INFO, "{0} answers again, version {1}", source.name(), last);
                 }
-                failing = false;
+                failures = 0;
             } catch (IOException | RuntimeException | Error e) {
                 if (stopped) {
                     return;
                 }
-                if (!failing) {
+                if (failures++ == 0) {
                     LOG.log(System.Logger.Level.WARNING, "{0} at {1}: {2}; what is held stays", source.name(),
                             source.address(), e.toString());
                 }
-                failing = true;
                 // The whole again: what a half answer would have told is not lost.
                 last = -1;
                 pause();
@@ -81,7 +85,7 @@
 
     private void pause() {
         try {
-            Thread.sleep(PAUSE.toMillis());
+            Thread.sleep(pause.apply(failures).toMillis());
         } catch (InterruptedException e) {
             stopped = true;
         }
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -1,6 +1,8 @@
 package postbeam.discovery;
 
+import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
 
@@ -11,8 +13,8 @@
 
     private Watch() {}
 
-    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told) {
+    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, IntFunction<Duration> pause) {
         return new LongPoll<>(new LongPoll.Source("discovery", address, "/v1/servers", LONGEST),
-                body -> ListForm.read(Json.object(body), cells), Told::version, told);
+                body -> ListForm.read(Json.object(body), cells), Told::version, told, pause);
     }
 }
--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -101,7 +101,7 @@
         this.book = new Book(place.history());
         this.coordinator = new Coordinator(book, place.limits());
         this.orders = new NodeOrders(this::done);
-        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed);
+        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, LongPoll.SOON);
         moves.setDaemon(true);
     }
 
--- a/src/main/java/postbeam/layouts/LayoutWatch.java
+++ b/src/main/java/postbeam/layouts/LayoutWatch.java
@@ -14,6 +14,6 @@
 
     public static LongPoll<Layout> of(String address, Consumer<Layout> told) {
         return new LongPoll<>(new LongPoll.Source("layouts", address, "/v1/layout", LONGEST),
-                body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told);
+                body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told, LongPoll.SOON);
     }
 }
--- a/src/main/java/postbeam/roster/Asking.java
+++ b/src/main/java/postbeam/roster/Asking.java
@@ -45,13 +45,13 @@
     /** It has answered or told of changes; or else a call failed, or the watch broke. */
     public void answered(Duration now, boolean failed) {
         failures = failed ? failures + 1 : 0;
-        at = failed && needed ? now.plus(pause()) : null;
+        at = failed && needed ? now.plus(pause(failures, longest, chance)) : null;
     }
 
-    /** After the failures so far: from half to one and a half times the pause of that many. */
-    private Duration pause() {
+    /** After so many failures in a row: from half to one and a half times the pause of that many. */
+    public static Duration pause(int failures, Duration longest, Random chance) {
         Duration doubled = PAUSE.multipliedBy(1L << Math.min(failures - 1, 10));
-        Duration mean = doubled.compareTo(longest) < 0 ? doubled : longest;
+        Duration mean = longest == null || doubled.compareTo(longest) < 0 ? doubled : longest;
         return Duration.ofMillis(Math.round(mean.toMillis() * (0.5 + chance.nextDouble())));
     }
 }
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -22,6 +23,7 @@
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
 import postbeam.layouts.LayoutWatch;
+import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
 import postbeam.setup.Info;
@@ -58,6 +60,8 @@
     private final ClientDoor rehearsalDoor;
     private Startup held;
     private LongPoll<Told> watch;
+    /** How long discovery is left alone after so many failures. */
+    private final IntFunction<Duration> pace;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
@@ -112,7 +116,11 @@
                 rehearsedShards);
         rehearsalDoor = new ClientDoor(worker, null, rehearsal, usualWaits, owners, rehearsedShards, 1);
         held = startup;
-        watch = Watch.of(discovery, cells, this::listed);
+        Random chance = new Random(startup.seed());
+        Duration askEvery = settings.span("obligations.askEvery");
+        pace = "subscribe".equals(settings.text("discovery"))
+                ? failures -> Asking.pause(failures, askEvery, chance) : LongPoll.SOON;
+        watch = Watch.of(discovery, cells, this::listed, pace);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
@@ -141,6 +149,7 @@
         }
         Assembly.verticals(settings);
         Assembly.customers(settings);
+        Assembly.asking(settings, new Random());
         Assembly.decide(null, new Random(), Assembly.fleet(settings), settings);
         if (startup.known() != null) {
             ListForm.read(startup.known(), settings.atLeast("domain.cells", 1));
@@ -195,7 +204,7 @@
         boolean moved = !discovery.equals(held.address("discovery"));
         if (moved && stopped.getCount() > 0) {
             watch.stop();
-            watch = Watch.of(discovery, cells, this::listed);
+            watch = Watch.of(discovery, cells, this::listed, pace);
             thread("discovery", watch);
         }
         held = startup;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -385,4 +385,110 @@
         otherZone(4, 1);
         assertFalse(given.nodes.contains(given.sent.get(0).node));
     }
+
+    @Test
+    void aPartDoesNotSpendItsCallsOnHoldersThatHaveJustFailedIt() {
+        Query q = given.begun(repeatable, 1);
+        for (int i = 0; i < 3; i++) {
+            ends(given, ms(1 + i), given.sent.get(i), Outcome.UNREACHABLE);
+            given.decide.turnEnded(ms(1 + i));
+        }
+        assertEquals(3, given.sent.size(), "each holder once");
+        Given more = new Given(2, false);
+        Query waits = more.begun(repeatable, 1);
+        for (int i = 0; i < 2; i++) {
+            ends(more, ms(1 + i), more.sent.get(i), Outcome.UNREACHABLE);
+            more.decide.turnEnded(ms(1 + i));
+        }
+        more.decide.turnEnded(ms(20));
+        assertEquals(2, more.sent.size());
+        assertFalse(waits.ended);
+        more.decide.turnEnded(ms(600));
+        more.decide.probed(ms(610), more.probed.get(0), true);
+        more.decide.turnEnded(ms(610));
+        assertEquals(3, more.sent.size(), "one that answers its probe gets the part");
+    }
+
+    /** The list tells that the last two of so many nodes have died. */
+    private static Given withCrashes(int nodes) {
+        Given given = new Given(nodes, true);
+        for (int i = nodes - 2; i < nodes; i++) {
+            given.decide.nodeListed(ms(0), given.nodes.get(i), Readiness.GONE, null);
+        }
+        return given;
+    }
+
+    @Test
+    void whileNodesCrashOnePartGoesAheadAndTheOthersFollowOnceItIsMerged() {
+        Given crashing = withCrashes(6);
+        crashing.begun(repeatable, 4);
+        assertEquals(1, crashing.sent.size());
+        ends(crashing, ms(100), crashing.sent.get(0), Outcome.MERGED);
+        crashing.decide.turnEnded(ms(100));
+        assertEquals(4, crashing.sent.size());
+        Query later = crashing.query(ms(11_000), repeatable, 4);
+        crashing.decide.turnEnded(ms(11_000));
+        assertEquals(4, later.out(), "crashes are forgotten");
+    }
+
+    @Test
+    void aQueryThatLostTwoPartsThatWentAheadIsGivenUpAndAMarkedRepeatAfterOne() {
+        for (boolean repeat : new boolean[] {false, true}) {
+            Given crashing = withCrashes(8);
+            Query q = crashing.query(ms(0), repeatable, 4);
+            q.repeat = repeat;
+            crashing.decide.turnEnded(ms(0));
+            ends(crashing, ms(50), crashing.sent.get(0), Outcome.RESET);
+            crashing.decide.turnEnded(ms(50));
+            assertEquals(repeat, q.ended);
+            if (!repeat) {
+                assertEquals(2, crashing.sent.size());
+                ends(crashing, ms(100), crashing.sent.get(1), Outcome.RESET);
+                crashing.decide.turnEnded(ms(100));
+            }
+            assertTrue(q.ended);
+            assertEquals(List.of("rejected"), crashing.ended);
+        }
+    }
+
+    @Test
+    void aDrainedNodeThatGoesIsNoCrash() {
+        for (int i = 1; i < 3; i++) {
+            given.decide.nodeListed(ms(0), given.nodes.get(i), Readiness.DRAINING, null);
+            given.decide.nodeListed(ms(0), given.nodes.get(i), Readiness.GONE, null);
+        }
+        given.begun(repeatable, 4);
+        assertEquals(4, given.sent.size());
+    }
+
+    @Test
+    void aNodeThatCouldNotBeReachedCountsAsColdUntilItIsToldOfALaterStart() {
+        DataNode node = given.nodes.get(0);
+        node.startedAt = ms(0);
+        given.decide.nodeListed(ms(50_000), node, Readiness.READY, ms(0));
+        Query q = new Query(repeatable, null, ms(60_000), ms(66_000));
+        ends(given, ms(60_000), new LeafCall(new Part(q, 0, 1, null), node, ms(60_000), null), Outcome.UNREACHABLE);
+        assertEquals(ms(60_000), node.coldSince());
+        given.decide.nodeListed(ms(63_000), node, Readiness.READY, ms(61_000));
+        assertEquals(ms(61_000), node.coldSince());
+    }
+
+    @Test
+    void theFirstAnswerOfARareVerticalIsNoQuietTimeWhereItsNodeIsSlowToOthers() {
+        repeatable.quietTime = ms(100);
+        given.begun(repeatable, 3);
+        given.sent.forEach(call -> ends(given, ms(500), call, Outcome.MERGED));
+        Vertical rare = Given.vertical(Effect.REPEATABLE, 1);
+        given.query(ms(500), rare, 1);
+        given.decide.turnEnded(ms(500));
+        ends(given, ms(1000), given.sent.get(3), Outcome.MERGED);
+        assertTrue(rare.quietTime.compareTo(ms(200)) < 0, rare.quietTime.toString());
+    }
+
+    @Test
+    void partsThatShareNoCallsGoToTheHolderWithFewestOfOurs() {
+        Given alone = new Given(4, true, 1);
+        alone.begun(repeatable, 4);
+        assertEquals(4, alone.sent.stream().map(call -> call.node).distinct().count());
+    }
 }
--- a/src/test/java/postbeam/Given.java
+++ b/src/test/java/postbeam/Given.java
@@ -28,8 +28,12 @@
     final Decide decide;
 
     Given(int nodeCount, boolean mayDuplicate) {
+        this(nodeCount, mayDuplicate, 16);
+    }
+
+    Given(int nodeCount, boolean mayDuplicate, int partsACall) {
         decide = new Decide(this, new Random(1), new Fleet(1, 1), new Decide.Held(100, 1, 0.1, null),
-                new Decide.Calls(3, mayDuplicate, true, true, 16), new Decide.FurtherCalls(null, null, null),
+                new Decide.Calls(3, mayDuplicate, true, true, partsACall), new Decide.FurtherCalls(null, null, null),
                 new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 1, ms(20)));
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new DataNode(0, zone));
--- a/src/test/java/postbeam/benchlink/DoorTest.java
+++ b/src/test/java/postbeam/benchlink/DoorTest.java
@@ -57,4 +57,13 @@
         assertTrue(reply("SYNC\t5\n" + asked + LIST + "EOF_BATCH\n").contains("OBSERVE\t3\t1\n"));
         assertEquals("DONE\n", reply("SYNC\t5\n" + CREATE + LIST + "EOF_BATCH\n"));
     }
+
+    @Test
+    void noTimeToComeBackIsToldWhereThatIsNotAllowed() throws IOException {
+        String create = CREATE.replace("new.key=7", "caps.maxRetryAfter=2000000\tcaps.mostHeld=2\tcaps.retryAfter=%s");
+        String late = "SYNC\t5\n%s" + QUERY + QUERY.replace("q-id", "r-id").replace("p-id", "s-id")
+                .replace("-\t1\t", "-\t2\t") + "EOF_BATCH\nSYNC\t3999000\nRING\t3\t0\nEOF_BATCH\n";
+        assertTrue(reply(late.formatted(create.formatted("true"))).contains("REJECT\t3\tq-id\t300000\n"));
+        assertTrue(reply(late.formatted(create.formatted("false"))).contains("REJECT\t3\tq-id\t0\n"));
+    }
 }
--- /dev/null
+++ b/src/test/java/postbeam/rig/MixedShapesTest.java
@@ -0,0 +1,282 @@
+package postbeam.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import postbeam.router.Router;
+import postbeam.setup.Startup;
+
+/** Instances in the old shape and in the new, on loopback, before the same data nodes, one of which hangs. */
+class MixedShapesTest {
+    private static final int WORK_MS = 15;
+    private static final int CORES = 2;
+    private static final int QUERIES = 60;
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    /** One kind of instance: its settings, and how many clients ask it at once. */
+    private record Shape(String name, String settings, int clients) { }
+
+    private static final String OLD = "\"domain\":{\"cells\":1,\"reach\":1,\"shards\":4,\"partsACall\":16,\"callCost\":5000,"
+            + "\"classNeed\":[1,1],\"leastShare\":[1,1]},\"caps\":{\"maxAttempts\":3,\"mayDuplicate\":true,\"cancelling\":true,"
+            + "\"probes\":true,\"maxStreams\":32,\"connectTimeout\":250000,\"keepalive\":15000000},"
+            + "\"tenants\":[{\"name\":\"acme\",\"quotaPerS\":50}],\"report\":{\"how\":\"none\"}";
+    private static final String NEW = "\"discovery\":\"subscribe\",\"domain\":{\"cells\":1,\"reach\":1,\"shards\":4,"
+            + "\"partsACall\":1,\"callCost\":0,\"classNeed\":[1,1],\"leastShare\":[1,1]},\"caps\":{\"maxAttempts\":4,"
+            + "\"mayDuplicate\":false,\"cancelling\":true,\"probes\":false,\"retryAfter\":false,\"maxRetryAfter\":2000000,"
+            + "\"maxStreams\":100,\"connectTimeout\":250000,\"keepalive\":15000000},"
+            + "\"report\":{\"how\":\"answers\",\"columns\":\"svc_ms\"}";
+
+    /** A data node with two cores; queries' ids begin with the name of the shape that they were asked of. */
+    private static final class Node implements AutoCloseable {
+        final ScriptedNode frames = new ScriptedNode();
+        final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        final Semaphore cores = new Semaphore(CORES, true);
+        final ExecutorService threads = Executors.newCachedThreadPool();
+        final Seen seen;
+        volatile boolean hangs;
+        volatile long drainedAt = Long.MAX_VALUE;
+
+        Node(Seen seen) throws IOException {
+            this.seen = seen;
+            threads.submit(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    threads.submit(() -> serve(socket));
+                }
+            });
+        }
+
+        private Void serve(Socket socket) throws Exception {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                String text = new String(in.readNBytes(Integer.reverseBytes(in.readInt())), StandardCharsets.UTF_8);
+                if (text.charAt(0) == 'o') {
+                    send(socket, "ogood");
+                } else if (text.charAt(0) == 'n') {
+                    seen.over(text.substring(1).trim());
+                }
+                for (String rest = text.charAt(0) == 'm' ? text.substring(1) : ""; !rest.isEmpty();) {
+                    int end = rest.indexOf('\n');
+                    String[] words = rest.substring(0, end).split(" ");
+                    rest = rest.substring(end + 1 + Integer.parseInt(words[3]));
+                    seen.called(words[0], System.nanoTime() > drainedAt);
+                    if (!hangs) {
+                        threads.submit(() -> work(socket, words[0]));
+                    }
+                }
+            }
+        }
+
+        private Void work(Socket socket, String part) throws Exception {
+            cores.acquire();
+            Thread.sleep(WORK_MS);
+            cores.release();
+            seen.ran(part);
+            send(socket, "q" + part + " good 0 -\nv" + part);
+            return null;
+        }
+
+        private void send(Socket socket, String frame) throws IOException {
+            synchronized (socket) {
+                frames.send(socket, frame);
+            }
+        }
+
+        String entry(String name, String health) {
+            return StandInDiscovery.entry(name, "127.0.0.1:" + server.getLocalPort(), "a", health, 0);
+        }
+
+        @Override
+        public void close() throws IOException {
+            frames.close();
+            server.close();
+            threads.shutdownNow();
+        }
+    }
+
+    /** What the nodes saw of each part, and what clients got. */
+    private static final class Seen {
+        private final Map<String, Integer> out = new ConcurrentHashMap<>();
+        private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+        final List<String> broken = new CopyOnWriteArrayList<>();
+        final Map<String, AtomicInteger> served = new ConcurrentHashMap<>();
+
+        void called(String part, boolean drained) {
+            if (out.merge(part, 1, Integer::sum) > 1 && part.startsWith("new")) {
+                broken.add("two calls of " + part + " are out, where copies are barred");
+            }
+            if (drained) {
+                broken.add(part + " went to a node after its grace");
+            }
+        }
+
+        void over(String part) {
+            out.computeIfPresent(part, (p, calls) -> calls > 1 ? calls - 1 : null);
+        }
+
+        void ran(String part) {
+            over(part);
+            if (runs.merge(part, 1, Integer::sum) > 1 && part.contains("hold")) {
+                broken.add("the side-effecting " + part + " ran twice");
+            }
+        }
+    }
+
+    private static Router router(Shape shape, String address, StandInDiscovery discovery) throws IOException {
+        return new Router(Startup.of(("{\"name\":\"" + shape.name + "\",\"listen\":\"" + address + "\",\"discovery\":\""
+                + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},"
+                + "\"settings\":{\"zone\":\"a\",\"nInstances\":2," + shape.settings + ",\"obligations\":{"
+                + "\"stopSendingWithin\":2000000,\"askEvery\":10000000},\"classes\":["
+                + "{\"name\":\"look\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"retryable\",\"lateWorth\":0.1},"
+                + "{\"name\":\"hold\",\"promise\":1000000,\"deadline\":3000000,\"effect\":\"fragile\",\"lateWorth\":0.1}]}}")
+                .getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Plays both shapes side by side; by shape how many queries were answered whole, in time, of those asked. */
+    private static Map<String, Double> play(Seen seen, Shape... shapes) throws Exception {
+        List<Node> nodes = new ArrayList<>();
+        List<Router> routers = new ArrayList<>();
+        ExecutorService clients = Executors.newCachedThreadPool();
+        StandInDiscovery discovery = null;
+        try {
+            for (int i = 0; i < 4; i++) {
+                nodes.add(new Node(seen));
+            }
+            discovery = new StandInDiscovery(list(nodes, "up"));
+            Map<String, AtomicInteger> asked = new ConcurrentHashMap<>();
+            List<java.util.concurrent.Future<?>> ends = new ArrayList<>();
+            for (Shape shape : shapes) {
+                String address;
+                try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                    address = "127.0.0.1:" + free.getLocalPort();
+                }
+                Router router = router(shape, address, discovery);
+                router.start();
+                routers.add(router);
+                seen.served.put(shape.name, new AtomicInteger());
+                asked.put(shape.name, new AtomicInteger());
+                for (int c = 0; c < shape.clients; c++) {
+                    int client = c;
+                    ends.add(clients.submit(() -> client(shape, address, client, seen, asked.get(shape.name))));
+                }
+            }
+            Thread.sleep(600);
+            nodes.get(0).hangs = true;
+            Thread.sleep(600);
+            nodes.get(3).drainedAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+            discovery.tell(list(nodes, "draining"));
+            for (var end : ends) {
+                end.get(60, TimeUnit.SECONDS);
+            }
+            Map<String, Double> shares = new TreeMap<>();
+            seen.served.forEach((name, count) -> shares.put(name, count.get() / (double) asked.get(name).get()));
+            return shares;
+        } finally {
+            clients.shutdownNow();
+            for (Router router : routers) {
+                router.stop();
+            }
+            for (Node node : nodes) {
+                node.close();
+            }
+            if (discovery != null) {
+                discovery.close();
+            }
+        }
+    }
+
+    private static String list(List<Node> nodes, String lastHealth) {
+        StringBuilder hosts = new StringBuilder();
+        for (int i = 0; i < nodes.size(); i++) {
+            hosts.append(i == 0 ? "" : ",").append(nodes.get(i).entry("n" + i, i == 3 ? lastHealth : "up"));
+        }
+        return hosts.toString();
+    }
+
+    private static Void client(Shape shape, String address, int client, Seen seen, AtomicInteger asked)
+            throws Exception {
+        for (int i = 0; i < QUERIES; i++) {
+            boolean hold = i % 5 == 4;
+            int parts = hold ? 1 : 3;
+            StringBuilder ranges = new StringBuilder();
+            for (int p = 0; p < parts; p++) {
+                ranges.append(p == 0 ? "" : ",").append("{\"range\":").append((client + p) % 4).append(",\"portion\":")
+                        .append(1.0 / parts).append('}');
+            }
+            long begun = System.nanoTime();
+            asked.incrementAndGet();
+            HttpResponse<String> answer = HTTP.send(HttpRequest.newBuilder(URI.create("http://" + address + "/"
+                    + (hold ? "hold" : "look"))).header("Req-Id", shape.name + "-" + (hold ? "hold" : "look") + client
+                    + "-" + i).header("Req-Owner", "acme").header("Req-Deadline-Ms", "" + PATIENCE.toMillis())
+                    .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString("{\"ranges\":[" + ranges
+                    + "],\"predicate\":\"c41e77d0\"}")).build(), HttpResponse.BodyHandlers.ofString());
+            Duration took = Duration.ofNanos(System.nanoTime() - begun);
+            if (took.compareTo(PATIENCE.plusMillis(200)) > 0) {
+                seen.broken.add("an answer came after " + took);
+            }
+            boolean whole = answer.statusCode() == 200 && answer.body().contains("\"total\":true");
+            if (whole && answer.body().split("\"range\"").length - 1 != parts) {
+                seen.broken.add("marked whole: " + answer.body());
+            }
+            if (whole && took.toMillis() <= 1000) {
+                seen.served.get(shape.name).incrementAndGet();
+            }
+        }
+        return null;
+    }
+
+    /** Names the shape that gets far less than the other; empty where none does. */
+    private static List<String> starved(Map<String, Double> shares) {
+        double best = shares.values().stream().mapToDouble(share -> share).max().orElse(0);
+        return shares.entrySet().stream().filter(e -> e.getValue() < 0.75 * best).map(Map.Entry::getKey).toList();
+    }
+
+    @Test
+    void bothShapesKeepTheRulesAndNeitherStarvesTheOther() throws Exception {
+        Seen seen = new Seen();
+        Map<String, Double> shares = play(seen, new Shape("old", OLD, 4), new Shape("new", NEW, 4));
+        assertEquals(List.of(), seen.broken);
+        assertEquals(List.of(), starved(shares), shares.toString());
+        assertTrue(shares.values().stream().allMatch(share -> share > 0.6), shares.toString());
+    }
+
+    @Test
+    void anInstanceThatCopiesWhereTheNewShapeBarsItIsCaught() throws Exception {
+        Seen seen = new Seen();
+        play(seen, new Shape("old", OLD, 4), new Shape("new", NEW.replace("\"mayDuplicate\":false",
+                "\"mayDuplicate\":true"), 4));
+        assertTrue(seen.broken.stream().anyMatch(what -> what.startsWith("two calls of new")), seen.broken.toString());
+    }
+
+    @Test
+    void anInstanceWhoseWorkIsAllowedForNoMoreThanOneCallIsSeenToStarve() throws Exception {
+        Seen seen = new Seen();
+        Map<String, Double> shares = play(seen, new Shape("old", OLD.replace("\"maxAttempts\":3", "\"maxAttempts\":0"), 4),
+                new Shape("new", NEW, 4));
+        assertEquals(List.of("old"), starved(shares), shares.toString());
+    }
+}
