--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -80,8 +80,6 @@
     /** How long a crash counts as a sign of queries that crash nodes, and how many such tell of them. */
     private static final Duration CRASH_MEMORY = Duration.ofSeconds(10);
     private static final int CRASHES_LEAST = 2;
-    /** Resets of a query with none merged, from which it is held to crash nodes: any call may meet one. */
-    private static final int RESETS_MOST = 2;
     /** How long customers' queries and this router's work are counted; queries a customer may be ahead. */
     private static final Duration SHARE_SPAN = Duration.ofSeconds(5);
     private static final double SHARE_AHEAD = 2;
@@ -194,7 +192,7 @@
         learn(now, call, outcome, took);
         call.node.downAt = outcome == Outcome.UNREACHABLE ? now : call.node.downAt;
         q.resets += outcome == Outcome.RESET ? 1 : 0;
-        q.poisoned |= outcome == Outcome.RESET && call.scout && q.resets >= (q.repeat ? 1 : RESETS_MOST);
+        q.poisoned |= outcome == Outcome.RESET && call.scout;
         if (outcome == Outcome.MERGED && !q.ended && !part.merged) {
             part.merged = true;
             // Guards against a wide window while every node is slow, which no rejection tells: late parts
@@ -425,8 +423,8 @@
 
     /**
      * Guards against a query whose parts crash the nodes that begin them: while nodes crash, one part goes
-     * ahead and the others follow once one is merged; a query that lost such a part, and one before, is given
-     * up. It costs the time of a part, and could hurt where nodes crash for other reasons and time is short.
+     * ahead and the others follow once one is merged; a query that lost such a part is given up. It costs
+     * the time of a part, and could hurt where nodes crash for other reasons and time is short.
      */
     private boolean scouted(Duration now, Query q) {
         return q.count(part -> part.merged) == 0
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -19,8 +19,6 @@
     public boolean ended;
     /** How weights count where slices are re-cut; null: each part counts by itself. */
     public Counting counting;
-    /** Its client marks it as a repeat. */
-    public boolean repeat;
     /** Its leaf calls that were reset; and it is held to crash the nodes that begin its parts. */
     public int resets;
     public boolean poisoned;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -432,23 +432,20 @@
     }
 
     @Test
-    void aQueryThatLostTwoPartsThatWentAheadIsGivenUpAndAMarkedRepeatAfterOne() {
-        for (boolean repeat : new boolean[] {false, true}) {
-            Given crashing = withCrashes(8);
-            Query q = crashing.query(ms(0), repeatable, 4);
-            q.repeat = repeat;
-            crashing.decide.turnEnded(ms(0));
-            ends(crashing, ms(50), crashing.sent.get(0), Outcome.RESET);
-            crashing.decide.turnEnded(ms(50));
-            assertEquals(repeat, q.ended);
-            if (!repeat) {
-                assertEquals(2, crashing.sent.size());
-                ends(crashing, ms(100), crashing.sent.get(1), Outcome.RESET);
-                crashing.decide.turnEnded(ms(100));
-            }
-            assertTrue(q.ended);
-            assertEquals(List.of("rejected"), crashing.ended);
-        }
+    void aQueryThatLostThePartThatWentAheadIsGivenUpAndOneThatMetACrashIsNot() {
+        Given crashing = withCrashes(8);
+        Query q = crashing.begun(repeatable, 4);
+        ends(crashing, ms(50), crashing.sent.get(0), Outcome.RESET);
+        crashing.decide.turnEnded(ms(50));
+        assertTrue(q.ended);
+        assertEquals(List.of("rejected"), crashing.ended);
+        Query one = given.begun(repeatable, 1);
+        ends(given, ms(50), given.sent.get(0), Outcome.RESET);
+        given.decide.turnEnded(ms(50));
+        assertEquals(2, given.sent.size());
+        ends(given, ms(100), given.sent.get(1), Outcome.RESET);
+        given.decide.turnEnded(ms(100));
+        assertTrue(one.ended);
     }
 
     @Test
