A fleet of processes under faults, judged by what nodes really received and ran

Hard cases of routers together need real processes: the built program's serve and layouts serve, stand-in nodes and discovery in processes of their own, a relay between any two. ProcessFleet starts them, kills, stops and wakes them by id, waits with bounds, and ends all when it closes or the virtual machine ends; stand-ins end with their input. Nodes write what they see to a file, a line an event, with times of the machine's one monotonic clock; Testimony tells the referee that and what clients saw in the order of times. The referee is the same one; what a killed or stopped router had taken is no longer held against it.

TogetherIT: a node back under its name, 2 of 5 cut off beside cold nodes, ways cut in one direction, all killed at once, a router stopped and woken; no rule broken.

--- /dev/null
+++ b/src/main/java/postbeam/rig/ProcessFleet.java
@@ -0,0 +1,420 @@
+package postbeam.rig;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.function.BiFunction;
+import java.util.stream.IntStream;
+import postbeam.setup.Startup;
+import postbeam.slices.Holder;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Layout;
+import postbeam.slices.Slice;
+import postbeam.state.Effect;
+
+/**
+ * The built program in processes of their own, routers r0.. and, where slices move, the layout service; stand-in nodes
+ * n0.. and discovery likewise. A relay stands between any two. All end with it, when the virtual machine ends, too.
+ */
+final class ProcessFleet implements Closeable, Load.Place {
+    static final String DISCOVERY = "discovery";
+    static final String LAYOUTS = "layouts";
+    /** A cold node's budget binds with so much work a part; it warms up slowly enough to be looked at. */
+    static final Duration WORK = Duration.ofMillis(20);
+    static final Duration RAMP = Duration.ofSeconds(6);
+    /** After which what was waited for won't come. */
+    private static final Duration LONG = Duration.ofSeconds(30);
+    /** For the ways of messages on a busy machine, delays by relays among them. */
+    private static final Duration SLACK = Duration.ofSeconds(1);
+    private static final List<String> JAVA = List.of("java", "-Xmx48m", "-Xss256k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+
+    /** How large; what is made of a router's configuration, by its name, before it starts. */
+    record Size(int nodes, int routers, int shards, boolean sliced, BiFunction<String, String, String> altered) { }
+
+    /** A process that can be started again under its name. */
+    private final class Child {
+        final String name;
+        final List<String> command;
+        Process process;
+        int lives;
+
+        Child(String name, List<String> command) {
+            this.name = name;
+            this.command = command;
+        }
+
+        Path output() {
+            return folder.resolve(name + "." + lives + ".out");
+        }
+    }
+
+    private record Known(String health, long bornMs) { }
+
+    private final Size size;
+    private final Path folder = Files.createTempDirectory("postbeam-fleet");
+    private final long startNanos = System.nanoTime();
+    private final Map<String, Child> children = new LinkedHashMap<>();
+    private final Map<String, String> addresses = new LinkedHashMap<>();
+    private final Map<String, Relay> ways = new LinkedHashMap<>();
+    private final Map<String, Known> known = new LinkedHashMap<>();
+    private final List<String> askers = new ArrayList<>();
+    private final Testimony testimony = new Testimony();
+    private final Thread ending = new Thread(this::killAll, "end of a fleet");
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    ProcessFleet(Size size, long seed) throws IOException, InterruptedException {
+        this.size = size;
+        Runtime.getRuntime().addShutdownHook(ending);
+        try {
+            IntStream.range(0, size.routers()).forEach(i -> askers.add("r" + i));
+            askers.add(LAYOUTS);
+            children.put(DISCOVERY, new Child(DISCOVERY, standIn("discovery", askers.size())));
+            for (int i = 0; i < size.nodes(); i++) {
+                String name = "n" + i;
+                children.put(name, new Child(name, standIn("node", name, "z" + i % 3, folder, startNanos, seed * 1009 + i,
+                        size.sliced(), WORK.toNanos() / 1000)));
+            }
+            for (String name : askers) {
+                addresses.put(name, Stage.freeAddress());
+            }
+            for (Child child : children.values()) {
+                launch(child, child.name.equals(DISCOVERY) ? null : "false");
+            }
+            for (String name : List.copyOf(children.keySet())) {
+                listening(name);
+            }
+            for (int i = 0; i < size.nodes(); i++) {
+                known.put("n" + i, new Known("up", 0));
+            }
+            tellDiscovery();
+            if (size.sliced()) {
+                children.put(LAYOUTS, new Child(LAYOUTS, built("layouts", "serve", "--settings",
+                        Files.writeString(folder.resolve("layouts.json5"), serviceSettings()).toString())));
+                launch(children.get(LAYOUTS), null);
+            } else {
+                testimony.add(Duration.ZERO, to -> to.layout(fixed(size.shards())));
+            }
+            for (int i = 0; i < size.routers(); i++) {
+                children.put("r" + i, router("r" + i, i, seed));
+                launch(children.get("r" + i), null);
+            }
+            for (int i = 0; i < size.routers(); i++) {
+                ready("r" + i);
+            }
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            close();
+            throw e;
+        }
+    }
+
+    /** The layout that stands for the fixed rule. */
+    static Layout fixed(int shards) {
+        List<Slice> slices = new ArrayList<>();
+        for (int i = 0; i <= shards; i++) {
+            slices.add(new Slice(i, new KeyRange(i, i < shards ? i + 1 : KeyRange.KEYS), Load.FIXED,
+                    List.of(new Holder("any", Duration.ZERO))));
+        }
+        return Layout.checked(Load.FIXED, Load.FIXED, slices, List.of());
+    }
+
+    /** What routers are promised here, with what the clients say of the work. */
+    static Referee referee() {
+        Referee.Rules rules = Stage.RULES;
+        return new Referee(new Referee.Rules(rules.coldFrom(), RAMP, rules.fallMultiple(), rules.fall(), rules.warmWork(),
+                rules.freeFurther(), rules.furtherShare(), rules.furtherSpan(), rules.repeatWindow()),
+                Duration.ofSeconds(2), SLACK);
+    }
+
+    // ---- processes
+
+    private static List<String> built(String... words) {
+        List<String> command = new ArrayList<>(JAVA);
+        command.addAll(List.of("-jar", "target/postbeam.jar"));
+        command.addAll(List.of(words));
+        return command;
+    }
+
+    private static List<String> standIn(Object... words) {
+        List<String> command = new ArrayList<>(JAVA);
+        command.addAll(List.of("-cp", "target/postbeam.jar:target/lib/*:target/more/*", StandIns.class.getName()));
+        Arrays.stream(words).map(String::valueOf).forEach(command::add);
+        return command;
+    }
+
+    private Child router(String name, int number, long seed) throws IOException {
+        String config = Stage.config(name, "z" + number % 3, addresses.get(name), way(name, DISCOVERY).address(),
+                seed * 31 + number, size.routers(), size.shards()).replace("\"rampTime\":2000000",
+                "\"rampTime\":" + RAMP.toNanos() / 1000);
+        Path file = Files.writeString(folder.resolve(name + ".json"), size.altered().apply(name, config));
+        List<String> command = new ArrayList<>(List.of("/bin/sh", "deploy/run.sh", "serve", "--config", file.toString()));
+        if (size.sliced()) {
+            command.addAll(List.of("--settings", Files.writeString(folder.resolve(name + ".json5"),
+                    "{layouts: {follow: {enabled: true, service: \"" + way(name, LAYOUTS).address() + "\"}}}").toString()));
+        }
+        return new Child(name, command);
+    }
+
+    private String serviceSettings() {
+        return "{layouts: {serve: {enabled: true, listen: \"" + addresses.get(LAYOUTS) + "\", log: \""
+                + folder.resolve("moves.log") + "\", discovery: \"" + way(LAYOUTS, DISCOVERY).address()
+                + "\", history: 40, firstSlices: " + size.shards() + ", firstHolders: 3, limits: {moves: 2, movesANode: 2, "
+                + "movesAZone: 3, copyMs: 5000, stepMs: 5000, restMs: 0, againMs: 50, holders: 2, zones: 2}}}}";
+    }
+
+    private void launch(Child child, String last) throws IOException {
+        List<String> command = new ArrayList<>(child.command);
+        if (last != null) {
+            command.add(last);
+        }
+        child.lives++;
+        ProcessBuilder start = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(child.output().toFile());
+        start.environment().put("BALANCER_CONFIG", folder.resolve(child.name + ".json").toString());
+        child.process = start.start();
+    }
+
+    /** Waits until a stand-in says where it listens, and leads all ways to it there. */
+    private void listening(String name) throws IOException, InterruptedException {
+        Child child = children.get(name);
+        until(name + " listens", () -> Files.readString(child.output()).contains("at ")
+                && Files.readString(child.output()).endsWith("\n"));
+        String at = Files.readString(child.output()).strip();
+        at = at.substring(at.lastIndexOf("at ") + 3);
+        synchronized (ways) {
+            addresses.put(name, at);
+            for (Map.Entry<String, Relay> way : ways.entrySet()) {
+                if (way.getKey().endsWith("-" + name)) {
+                    way.getValue().target(target(way.getKey().split("-")[0], name));
+                }
+            }
+        }
+    }
+
+    private java.net.InetSocketAddress target(String from, String to) {
+        String at = addresses.get(to);
+        return at == null ? null : Startup.socketAddress(to.equals(DISCOVERY) ? at.split(",")[askers.indexOf(from)] : at);
+    }
+
+    /** The way from one to another by their names; made when it is first asked for. */
+    Relay way(String from, String to) {
+        synchronized (ways) {
+            return ways.computeIfAbsent(from + "-" + to, key -> {
+                try {
+                    return new Relay(key, target(from, to));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            });
+        }
+    }
+
+    void healAll() {
+        synchronized (ways) {
+            ways.values().forEach(Relay::heal);
+        }
+    }
+
+    /** Waits until it answers; from then on what it takes counts. */
+    void ready(String router) throws IOException, InterruptedException {
+        until(router + " is ready", () -> http.send(HttpRequest.newBuilder(URI.create("http://" + addresses.get(router)
+                + "/healthz")).timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.discarding())
+                .statusCode() == 200);
+        testimony.add(now(), to -> to.routerBack(router));
+    }
+
+    void until(String what, Callable<Boolean> condition) throws IOException, InterruptedException {
+        long end = System.nanoTime() + LONG.toNanos();
+        while (true) {
+            try {
+                if (condition.call()) {
+                    return;
+                }
+            } catch (InterruptedException e) {
+                throw e;
+            } catch (Exception e) {
+                // Not yet.
+            }
+            if (System.nanoTime() > end) {
+                throw new IOException("it did not come that " + what);
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    /** SIGKILL. */
+    void kill(String name) throws InterruptedException {
+        away(name);
+        children.get(name).process.destroyForcibly().waitFor();
+    }
+
+    /** SIGSTOP; {@link #wake} has it go on. */
+    void stop(String name) throws IOException, InterruptedException {
+        away(name);
+        signal(name, "-STOP");
+    }
+
+    void wake(String name) throws IOException, InterruptedException {
+        signal(name, "-CONT");
+        if (askers.contains(name) && !name.equals(LAYOUTS)) {
+            ready(name);
+        }
+    }
+
+    private void away(String name) {
+        if (name.startsWith("r")) {
+            testimony.add(now(), to -> to.routerAway(name));
+        }
+    }
+
+    private void signal(String name, String what) throws IOException, InterruptedException {
+        String pid = String.valueOf(children.get(name).process.pid());
+        if (new ProcessBuilder("kill", what, pid).start().waitFor() != 0) {
+            throw new IOException(name + " could not be signalled");
+        }
+    }
+
+    /** Starts what was killed; a node is back cold, and discovery tells of it. */
+    void start(String name) throws IOException, InterruptedException {
+        boolean node = known.containsKey(name);
+        launch(children.get(name), node ? "true" : null);
+        if (node) {
+            listening(name);
+            known.put(name, new Known("up", System.currentTimeMillis()));
+            tell(name, "up");
+        } else if (name.startsWith("r")) {
+            ready(name);
+        }
+    }
+
+    boolean alive(String name) {
+        return children.get(name).process.isAlive();
+    }
+
+    /** Has a stand-in node do as {@link StandIns} has it. */
+    void order(String node, String line) throws IOException {
+        say(children.get(node), line);
+    }
+
+    private void say(Child child, String line) throws IOException {
+        child.process.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+        child.process.getOutputStream().flush();
+    }
+
+    /** All that a process wrote in this life. */
+    String output(String name) throws IOException {
+        return Files.readString(children.get(name).output());
+    }
+
+    // ---- discovery
+
+    /** Discovery tells all of this node; its health is up, draining or removed. */
+    void tell(String node, String health) throws IOException {
+        known.put(node, new Known(health, known.get(node).bornMs));
+        tellDiscovery();
+        Duration now = now();
+        testimony.add(now, to -> to.told(now, node, !health.equals("up")));
+    }
+
+    /** What the referee takes for told, though nobody is. */
+    void pretendTold(String node) {
+        Duration now = now();
+        testimony.add(now, to -> to.told(now, node, true));
+    }
+
+    private void tellDiscovery() throws IOException {
+        for (String asker : askers) {
+            List<String> hosts = new ArrayList<>();
+            known.forEach((node, is) -> hosts.add(StandInDiscovery.entry(node, way(asker, node).address(),
+                    "z" + Integer.parseInt(node.substring(1)) % 3, is.health, is.bornMs)));
+            hosts.removeIf(host -> host.contains("\"removed\""));
+            say(children.get(DISCOVERY), askers.indexOf(asker) + " " + String.join(",", hosts));
+        }
+    }
+
+    // ---- the run
+
+    @Override
+    public List<String> routers() {
+        return IntStream.range(0, size.routers()).mapToObj(i -> addresses.get("r" + i)).toList();
+    }
+
+    String address(String name) {
+        return addresses.get(name);
+    }
+
+    @Override
+    public Duration now() {
+        return Duration.ofNanos(System.nanoTime() - startNanos);
+    }
+
+    @Override
+    public Testimony seen() {
+        return testimony;
+    }
+
+    @Override
+    public Duration price() {
+        return WORK;
+    }
+
+    /** Without deduplicated ones: what nodes hand each other of them has no form between these processes. */
+    @Override
+    public List<World.Kind> kinds() {
+        return World.kinds().stream().filter(kind -> kind.effect() != Effect.DEDUPLICATED).toList();
+    }
+
+    /** Calls that a node's present life was sent so far. */
+    long calls(String node) throws IOException {
+        return testimony.calls(folder, node);
+    }
+
+    /** Tells the referee all that was seen. */
+    Referee judged() throws IOException {
+        Referee referee = referee();
+        testimony.tell(referee, folder, now());
+        return referee;
+    }
+
+    private void killAll() {
+        children.values().stream().map(child -> child.process).filter(process -> process != null)
+                .forEach(Process::destroyForcibly);
+    }
+
+    @Override
+    public void close() throws IOException {
+        killAll();
+        try {
+            for (Child child : children.values()) {
+                if (child.process != null) {
+                    child.process.waitFor();
+                }
+            }
+            Runtime.getRuntime().removeShutdownHook(ending);
+        } catch (IllegalStateException e) {
+            // The virtual machine ends, and with it all of this.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        ways.values().forEach(Relay::close);
+        try (var files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/postbeam/rig/TogetherIT.java
@@ -0,0 +1,161 @@
+package postbeam.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BiFunction;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Processes of the built program under faults between them: the six rules hold, and service is back in bounded time. */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class TogetherIT {
+    private static final BiFunction<String, String, String> AS_IT_IS = (name, config) -> config;
+    /** Queries a second. */
+    private static final double RATE = 100;
+    private static final Duration LONGEST = Duration.ofSeconds(90);
+    private static final int SHARDS = 8;
+
+    private ProcessFleet fleet;
+    private Load load;
+    private Thread clients;
+
+    private void stage(int nodes, int routers, BiFunction<String, String, String> altered) throws Exception {
+        fleet = new ProcessFleet(new ProcessFleet.Size(nodes, routers, SHARDS, false, altered), 1);
+        load = new Load(fleet, false, SHARDS, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
+        clients = new Thread(() -> {
+            try {
+                load.run(RATE, LONGEST);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "load");
+        clients.start();
+        allServe();
+    }
+
+    @AfterEach
+    void giveBack() throws Exception {
+        if (clients != null) {
+            load.stop();
+            clients.join();
+        }
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    /** Each router gives so many more whole or good answers. */
+    private void allServe() throws Exception {
+        for (int i = 0; i < fleet.routers().size(); i++) {
+            int router = i;
+            int before = load.served(i);
+            fleet.until("r" + i + " serves", () -> load.served(router) > before + 20);
+        }
+    }
+
+    private List<String> broken() throws Exception {
+        load.stop();
+        clients.join();
+        Referee judged = fleet.judged();
+        System.out.println(load.asked() + " queries, " + judged.calls() + " calls, " + judged.further() + " further, "
+                + judged.runs() + " runs, statuses " + load.statuses());
+        assertTrue(judged.runs() > 100, "nothing was seen");
+        return judged.broken();
+    }
+
+    @Test
+    void aKilledNodeIsBackUnderItsNameAndCold() throws Exception {
+        stage(4, 3, AS_IT_IS);
+        fleet.kill("n1");
+        allServe();
+        fleet.start("n1");
+        allServe();
+        fleet.until("n1 is called again", () -> fleet.calls("n1") > 50);
+        assertEquals(List.of(), broken());
+    }
+
+    /** Nobody shares anything: each has its even part of a cold node's budget, cut off or not, and the sum holds. */
+    @Test
+    void twoOfFiveAreCutOffWhileColdNodesReturn() throws Exception {
+        stage(6, 5, AS_IT_IS);
+        fleet.kill("n0");
+        fleet.kill("n1");
+        for (String router : List.of("r0", "r1")) {
+            for (String far : List.of("n2", "n3", "r2", "r3", "r4")) {
+                fleet.way(router, far).both(Relay.Fault.CUT, Duration.ZERO);
+                fleet.way(far, router).both(Relay.Fault.CUT, Duration.ZERO);
+            }
+        }
+        fleet.start("n0");
+        fleet.start("n1");
+        for (String node : List.of("n0", "n1")) {
+            fleet.until(node + " carries work", () -> fleet.calls(node) > 80);
+        }
+        fleet.healAll();
+        allServe();
+        assertEquals(List.of(), broken());
+    }
+
+    @Test
+    void waysCutInOneDirectionOnlyCostNoPromise() throws Exception {
+        stage(5, 3, AS_IT_IS);
+        fleet.way("r0", "n0").set(Relay.Way.THERE, Relay.Fault.CUT, Duration.ZERO);
+        fleet.way("r1", "n0").set(Relay.Way.BACK, Relay.Fault.CUT, Duration.ZERO);
+        fleet.way("r2", "n1").set(Relay.Way.BACK, Relay.Fault.SILENT, Duration.ZERO);
+        fleet.way("r2", ProcessFleet.DISCOVERY).set(Relay.Way.BACK, Relay.Fault.CUT, Duration.ZERO);
+        fleet.way("r1", "n2").both(Relay.Fault.REORDER, Duration.ofMillis(50));
+        fleet.way("r0", "n3").both(Relay.Fault.DELAY, Duration.ofMillis(30));
+        allServe();
+        fleet.healAll();
+        fleet.way("r0", "n1").reset();
+        allServe();
+        assertEquals(List.of(), broken());
+    }
+
+    @Test
+    void allAreKilledAtOnceAndServeAgainFromNothing() throws Exception {
+        stage(4, 3, AS_IT_IS);
+        List<String> all = List.of("r0", "r1", "r2", "n0", "n1", "n2", "n3");
+        for (String name : all) {
+            fleet.kill(name);
+        }
+        for (String name : all.subList(3, 7)) {
+            fleet.start(name);
+        }
+        for (String name : all.subList(0, 3)) {
+            fleet.start(name);
+        }
+        allServe();
+        assertEquals(List.of(), broken());
+    }
+
+    /** While it is stopped a node is replaced and another drains: it must learn of both before it sends. */
+    @Test
+    void aRouterThatIsStoppedAndWokenKeepsToWhatHasChanged() throws Exception {
+        stage(4, 3, AS_IT_IS);
+        fleet.stop("r0");
+        fleet.kill("n0");
+        fleet.start("n0");
+        fleet.tell("n3", "draining");
+        fleet.until("the others serve", () -> fleet.calls("n0") > 30);
+        fleet.wake("r0");
+        allServe();
+        assertEquals(List.of(), broken());
+    }
+
+    /** Rule 4's sum is one that no router sees: each keeps to what it takes for its own. */
+    @Test
+    void routersThatEachTakeTheWholeBudgetAreCaught() throws Exception {
+        stage(3, 5, (name, config) -> config.replace("\"nInstances\":5", "\"nInstances\":1"));
+        fleet.kill("n0");
+        fleet.start("n0");
+        fleet.until("n0 carries work", () -> fleet.calls("n0") > 100);
+        List<String> broken = broken();
+        assertTrue(broken.stream().anyMatch(line -> line.startsWith("rule 4")), broken.toString());
+    }
+}
