--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -245,17 +245,28 @@
         double in = q.mergedWeight();
         double possible = q.weightOf(part -> part.merged || !part.out.isEmpty() || mayStillSend(now, part));
         Duration left = q.deadline.minus(now);
-        if (in + ROUNDING >= q.vertical.need) {
-            end(q);
-            host.answer(q, true);
+        boolean coming = q.parts.isEmpty(); // a second step's parts come a turn after the first is answered
+        if (!coming && in + ROUNDING >= q.vertical.need) {
+            answerWhole(q);
         } else if (left.compareTo(LAST_WORD) <= 0 || q.poisoned || partialIsBest(now, q, in)
-                || possible + ROUNDING < q.vertical.need
+                || !coming && possible + ROUNDING < q.vertical.need
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)
                 || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q)) {
             giveUp(now, q);
         }
     }
 
+    /** The answer to all that was asked so far: the final one, or what brings the second step's parts. */
+    private void answerWhole(Query q) {
+        if (q.vertical.second == null) {
+            end(q);
+        } else {
+            q.parts.forEach(this::cancelAll);
+            q.secondStep();
+        }
+        host.answer(q, true);
+    }
+
     /** What is only late may still come: throwing it away would feed an overload. */
     private boolean lateForGood(Duration now, Query q) {
         return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded && (q.alpha() > q.out()
@@ -271,13 +282,14 @@
     /** The SLO time is about to pass, and what is in is worth more now than a whole answer after it. */
     private static boolean partialIsBest(Duration now, Query q, double in) {
         Vertical v = q.vertical;
-        return v.floor < v.need && in + ROUNDING >= v.floor && v.shortUtility * in / v.need > v.lateUtility
-                && now.plus(LAST_WORD).compareTo(q.sloAt()) >= 0;
+        return v.second == null && v.floor < v.need && in + ROUNDING >= v.floor
+                && v.shortUtility * in / v.need > v.lateUtility && now.plus(LAST_WORD).compareTo(q.sloAt()) >= 0;
     }
 
     /** Its SLO time is over, or so many usual times for what is unsent last past its end. */
     private boolean tooLate(Duration now, Query q, double rounds) {
         Duration done = q.alpha() > q.out() ? now.plus(usualTime(now, q.vertical, rounds)) : now;
+        done = q.vertical.second == null ? done : done.plus(usualTime(now, q.vertical.second, 1));
         return done.compareTo(q.sloAt()) >= 0;
     }
 
@@ -288,6 +300,8 @@
     private boolean hopeless(Duration now, Query q) {
         double slowest = q.vertical.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
         Duration left = min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now);
+        Vertical second = q.vertical.second;
+        left = second == null ? left : left.minus(usualTime(now, second, slowest));
         return inFlight > 0 && q.vertical.quietTime != null
                 && left.compareTo(usualTime(now, q.vertical, slowest)) < 0;
     }
@@ -312,10 +326,10 @@
     /** The final answer at once: from what is in where the floor allows it, else rejected where harmless. */
     private void giveUp(Duration now, Query q) {
         double in = q.mergedWeight();
-        boolean harmless = q.vertical.effect == Effect.REPEATABLE
-                || q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
+        boolean harmless = q.vertical.effect == Effect.REPEATABLE || q.firstStep.isEmpty()
+                && q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
         end(q);
-        if (in > 0 && in + ROUNDING >= q.vertical.floor) {
+        if (in > 0 && in + ROUNDING >= q.vertical.floor && q.vertical.second == null) {
             host.answer(q, false);
         } else if (harmless) {
             host.reject(q, held.comeBack(crowded));
@@ -581,7 +595,7 @@
 
     private void learn(Duration now, LeafCall call, Outcome outcome, Duration took) {
         DataNode node = call.node;
-        Vertical v = call.part.query.vertical;
+        Vertical v = call.part.vertical;
         if (outcome == Outcome.MERGED) {
             // The first answer may be a slow one, and of a rare vertical the next comes late: what the nodes
             // are like to the others is taken off it.
@@ -703,14 +717,14 @@
 
     /** Overdue, and its node has answered nothing for as long; at once where the node is left alone. */
     private boolean silent(Duration now, LeafCall call) {
-        Duration since = now.minus(overdueAfter(now, call.part.query.vertical));
+        Duration since = now.minus(overdueAfter(now, call.part.vertical));
         return call.node.avoidUntil != null
                 || since.compareTo(call.sentAt) > 0 && !call.node.answeredSince(since);
     }
 
     /** Silent, or overdue and overtaken by a call sent later. One that only waits its turn is not lost. */
     private boolean lost(Duration now, LeafCall call) {
-        Duration since = now.minus(overdueAfter(now, call.part.query.vertical));
+        Duration since = now.minus(overdueAfter(now, call.part.vertical));
         return silent(now, call) || since.compareTo(call.sentAt) > 0
                 && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
     }
--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -185,6 +185,7 @@
             ids.remove(query);
         }
         forgetParts(query.parts);
+        forgetParts(query.firstStep);
     }
 
     private void forgetParts(List<Part> done) {
--- a/src/main/java/postbeam/setup/Assembly.java
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -40,10 +40,14 @@
         Double need = info.listed("domain.classNeed", i);
         Double floor = info.listed("domain.leastShare", i);
         Double shortUtility = info.listed("domain.shortWorth", i);
+        Double followUp = info.listed("domain.followUp", i);
         double whole = need == null ? 1 : need;
-        return new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
-                utility == null ? 1 : utility, late == null ? 0 : late, whole, floor == null ? whole : floor,
+        double least = floor == null ? whole : floor;
+        Vertical one = new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
+                utility == null ? 1 : utility, late == null ? 0 : late, whole, least,
                 shortUtility == null ? 0 : shortUtility);
+        return followUp == null || followUp < 1 ? one : one.followedBy(new Vertical(one.sloTime, effect,
+                one.repeatWindow, one.utility, one.lateUtility, 1, least < whole ? least : 1, one.shortUtility));
     }
 
     public static Map<String, Customer> customers(Info info) {
--- a/src/main/java/postbeam/state/Part.java
+++ b/src/main/java/postbeam/state/Part.java
@@ -7,6 +7,8 @@
 /** The part of a query that one shard answers. */
 public class Part {
     public final Query query;
+    /** What its query was when it came: that of its step. */
+    public final Vertical vertical;
     public final int shard;
     public final double weight;
     /** Expected work; null where no hint came. */
@@ -22,6 +24,7 @@
 
     public Part(Query query, int shard, double weight, Duration work) {
         this.query = query;
+        this.vertical = query.vertical;
         this.shard = shard;
         this.weight = weight;
         this.work = work;
--- a/src/main/java/postbeam/state/Query.java
+++ b/src/main/java/postbeam/state/Query.java
@@ -7,7 +7,8 @@
 
 /** A query that this router has taken. */
 public final class Query {
-    public final Vertical vertical;
+    /** What its parts are now: in its second step that of the second. */
+    public Vertical vertical;
     /** Null where the deployment has no customers. */
     public final Customer customer;
     public final Duration arrivedAt;
@@ -17,6 +18,8 @@
     /** Place in the replica lists of its shards; below 0 before it is chosen. */
     public int offset = -1;
     public boolean ended;
+    /** Parts of its first step, once that is answered; empty before, and where there is no second. */
+    public final List<Part> firstStep = new ArrayList<>();
     /** How weights count where slices are re-cut; null: each part counts by itself. */
     public Counting counting;
     /** Its leaf calls that were reset; and it is held to crash the nodes that begin its parts. */
@@ -78,8 +81,16 @@
         return count(part -> !part.merged && !part.out.isEmpty());
     }
 
+    /** The first step is answered: its parts are over, those of the second are to come. */
+    public void secondStep() {
+        firstStep.addAll(parts);
+        parts.clear();
+        vertical = vertical.second;
+        offset = -1;
+    }
+
     /** No leaf call was sent for it. */
     public boolean untouched() {
-        return count(part -> !part.calls.isEmpty()) == 0;
+        return firstStep.isEmpty() && count(part -> !part.calls.isEmpty()) == 0;
     }
 }
--- a/src/main/java/postbeam/state/Vertical.java
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -16,6 +16,8 @@
     public final double floor;
     /** What a partial answer earns, times share / need. */
     public final double shortUtility;
+    /** What the parts are that come once a first answer is put together; null where a query has one step. */
+    public final Vertical second;
 
     /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
     public Duration quietTime;
@@ -24,6 +26,11 @@
 
     public Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
             double need, double floor, double shortUtility) {
+        this(sloTime, effect, repeatWindow, utility, lateUtility, need, floor, shortUtility, null);
+    }
+
+    private Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
+            double need, double floor, double shortUtility, Vertical second) {
         this.sloTime = sloTime;
         this.effect = effect;
         this.repeatWindow = repeatWindow;
@@ -32,6 +39,12 @@
         this.need = need;
         this.floor = floor;
         this.shortUtility = shortUtility;
+        this.second = second;
+    }
+
+    /** The same with a second step. */
+    public Vertical followedBy(Vertical second) {
+        return new Vertical(sloTime, effect, repeatWindow, utility, lateUtility, need, floor, shortUtility, second);
     }
 
     public boolean anyN() {
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -488,4 +488,30 @@
         alone.begun(repeatable, 4);
         assertEquals(4, alone.sent.stream().map(call -> call.node).distinct().count());
     }
+
+    @Test
+    void theSecondStepNeedsAllItsPartsAndOneThatIsGivenUpIsRejectedOnlyWhereNothingMayHaveRun() {
+        for (Effect effect : List.of(Effect.REPEATABLE, Effect.SIDE_EFFECTING)) {
+            Given two = new Given(3, true);
+            Query q = two.begun(Given.vertical(effect, 0.5).followedBy(Given.vertical(effect, 1)), 4);
+            for (int i = 0; i < 2; i++) {
+                ends(two, ms(50), two.sent.get(i), Outcome.MERGED);
+            }
+            two.decide.turnEnded(ms(50));
+            assertEquals(List.of("whole"), two.ended, "any two of four will do in the first");
+            assertFalse(q.ended);
+            two.decide.turnEnded(ms(70));
+            int before = two.sent.size();
+            for (int i = 0; i < 2; i++) {
+                two.decide.partArrived(ms(70), new Part(q, i, 0.5, null));
+            }
+            two.decide.turnEnded(ms(70));
+            assertEquals(2, two.sent.size() - before);
+            ends(two, ms(90), two.sent.get(before), Outcome.MERGED);
+            two.decide.turnEnded(ms(90));
+            assertEquals(1, two.ended.size(), "half of the second is not enough");
+            two.decide.turnEnded(Given.DEADLINE.minus(ms(30)));
+            assertEquals(effect == Effect.REPEATABLE ? "rejected" : "aborted", two.ended.get(1));
+        }
+    }
 }
--- a/src/test/java/postbeam/benchlink/DoorTest.java
+++ b/src/test/java/postbeam/benchlink/DoorTest.java
@@ -38,6 +38,19 @@
         assertTrue(reply.contains("WRAP_UP"), reply);
     }
 
+    @Test
+    void aSecondStepIsServedAndAnsweredToo() throws IOException {
+        String wire = "SYNC\t5\n" + CREATE.replace("new.key=7", "domain.followUp=1") + LIST + QUERY + "EOF_BATCH\nSYNC\t105\n"
+                + "REPORT_BACK\t3\tp-id\t0\tok\t1\t100\t10.0.0.1:80\t-\nEOF_BATCH\nSYNC\t110\n"
+                + "INGRESS\t3\tp-two\ta\t-\t-\t4000000\t-\t1\t0\t1.0\t0\nEOF_BATCH\nSYNC\t210\n";
+        assertTrue(reply(wire + "EOF_BATCH\n").contains("ATTEMPT\t3\tp-two\t10.0.0.1:80\t"), reply(wire + "EOF_BATCH\n"));
+        String both = reply(wire + "REPORT_BACK\t3\tp-two\t0\tok\t1\t100\t10.0.0.1:80\t-\nEOF_BATCH\n");
+        assertEquals(3, both.split("WRAP_UP\t3\tq-id\t1\n").length, both);
+        // What it gives up on in its second step gets a final answer too, and none from the first step's parts alone.
+        String late = reply(wire + "EOF_BATCH\nSYNC\t3999000\nRING\t3\t0\nEOF_BATCH\n");
+        assertTrue(late.contains("REJECT\t3\tq-id\t"), late);
+    }
+
     @Test
     void anInstanceMayStopAndStartInOneBatch() throws IOException {
         String wire = "SYNC\t5\n" + CREATE + LIST + "EOF_BATCH\n"
