Where less than all parts will do, the quickest nodes come first; rounds count as hopeless

Cause: sendNext ranked parts by load only where any n will do; a survey, for which half of the weight will do, sent its parts in the order they came, and its first ones filled the window at the jammed nodes. And 'hopeless' took the usual time once however many rounds a query takes through the window: 48 parts through a window of 4 to 10 can't end in 2 s. Now the quickest nodes come first there, by calls out times what the node is beside the usual one; a query of many parts is hopeless by the rounds of its floor. It guards against any jam of a few shards; it could hurt where a node is slow for one vertical alone.

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -13,7 +13,6 @@
  */
 public final class Decide {
     // ---- constants: unit, and why this size
-
     /** Parts: the window at the start, as the design page has it, and the least it falls to. */
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
@@ -133,7 +132,6 @@
     }
 
     // ---- what can happen
-
     public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt) {
         boolean fresh = node.workSent == null;
         if (fresh) {
@@ -256,7 +254,6 @@
     }
 
     // ---- when to answer, and when to give up
-
     private void settle(Duration now, Query q) {
         double in = q.mergedWeight();
         double possible = q.weightOf(part -> part.merged || !part.out.isEmpty() || mayStillSend(now, part));
@@ -315,7 +312,8 @@
      * While nothing else is out it is tried: what was learnt may be out of date.
      */
     private boolean hopeless(Duration now, Query q) {
-        double slowest = q.vertical.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
+        double slowest = q.vertical.anyN() || q.parts.size() == 1 ? 1
+                : Math.max(SLOWEST_TIMES, q.vertical.floor * q.parts.size() / window);
         Duration left = min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now);
         Vertical second = q.vertical.second;
         left = second == null ? left : left.minus(usualTime(now, second, slowest));
@@ -372,7 +370,6 @@
     }
 
     // ---- which query gets a free slot: SEDPT-R
-
     /** Parts in flight that can be counted on: an overdue part counts no more. */
     private int delta(Duration now, Query q) {
         return q.count(part -> counted(now, part));
@@ -430,16 +427,19 @@
         chooseOffset(now, q);
         Part bestPart = null;
         DataNode bestNode = null;
-        int bestRank = Integer.MAX_VALUE;
+        double bestRank = Double.MAX_VALUE;
         for (Part part : q.parts) {
-            if (part.merged || counted(now, part) || !maySendNow(now, part)) {
+            DataNode node = part.merged || counted(now, part) || !maySendNow(now, part) ? null
+                    : chooseNode(now, part);
+            if (node == null) {
                 continue;
             }
-            DataNode node = chooseNode(now, part);
-            // First parts before copies; where any n will do, those whose nodes have least to do.
-            int rank = (part.out.isEmpty() ? 0 : 1000) + (node == null || !anyN ? 0
-                    : node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0));
-            if (node != null && rank < bestRank) {
+            // First parts before copies. Where any n will do, those whose nodes have least to do; where less
+            // than all will do, the quickest: what a few popular shards jam is left for the end.
+            double rank = (part.out.isEmpty() ? 0 : 1000) + (anyN ? node.callsOut()
+                    + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0)
+                    : q.vertical.floor < 1 ? (1 + node.out.size()) * beside(now, node) : 0);
+            if (rank < bestRank) {
                 bestPart = part;
                 bestNode = node;
                 bestRank = rank;
@@ -510,7 +510,6 @@
     }
 
     // ---- which replica
-
     /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
     private void chooseOffset(Duration now, Query q) {
         if (q.offset >= 0) {
@@ -552,10 +551,9 @@
         double bestRank = Double.MAX_VALUE;
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
-            Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY
-                    || !cold.allows(now, node, fleet.tookAt(part.shard, node), work,
-                            share(now, part, node))) {
+            Duration work = cold.work(part, quiet(part.vertical));
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, fleet.tookAt(part.shard, node),
+                    work, share(now, part, node))) {
                 continue;
             }
             // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
@@ -596,7 +594,6 @@
     }
 
     // ---- health of nodes, from our own leaf calls alone
-
     /**
      * Guards against a node that is silent, slow, failing or unreachable, whatever the cause: our own calls
      * show it. It also catches a node the list names ready that is dead, and a zone cut off. It could hurt
@@ -751,7 +748,6 @@
     }
 
     // ---- which further leaf calls are allowed
-
     /** Whether the part may get a leaf call now or later, as far as its past tells. */
     private boolean mayStillSend(Duration now, Part part) {
         if (part.closed || part.calls.size() >= calls.most) {
@@ -784,6 +780,10 @@
         return span.toNanos() / 1e9;
     }
 
+    private static TimeRing ringOf(Duration span) {
+        return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+    }
+
     /** What may be done with leaf calls; what is not stated is not permitted. */
     public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe, boolean shared) {
         public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe,
@@ -796,9 +796,7 @@
     /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
     public record FurtherCalls(Double free, Double share, Duration span, TimeRing taken, TimeRing sent) {
         public FurtherCalls(Double free, Double share, Duration span) {
-            this(free == null ? 0 : free, share == null ? 0 : share, span,
-                    new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS),
-                    new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS));
+            this(free == null ? 0 : free, share == null ? 0 : share, span, ringOf(span), ringOf(span));
         }
 
         boolean allowed(Duration now) {
@@ -820,7 +818,7 @@
         }
 
         TimeRing ring() {
-            return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+            return ringOf(span);
         }
 
         Duration work(Part part, Duration quiet) {
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -533,4 +533,30 @@
         given.decide.queryArrived(now, q);
         return q;
     }
+
+    @Test
+    void aQueryThatMayDoWithLessThanAllBeginsWithItsQuickestNodes() {
+        Given cells = new Given(6, true, 1, 6);
+        Vertical floored = new Vertical(Given.SLO, Effect.REPEATABLE, null, 1, 0, 1, 0.5, 0.8);
+        floored.quietTime = ms(100);
+        cells.begun(floored, 6);
+        for (int i = 0; i < 6; i++) {
+            ends(cells, ms(i < 3 ? 900 : 100), cells.sent.get(i), Outcome.MERGED);
+        }
+        cells.query(ms(900), floored, 6);
+        cells.decide.turnEnded(ms(900));
+        assertEquals(cells.nodes.subList(3, 6), cells.sent.subList(6, 9).stream().map(call -> call.node).toList());
+    }
+
+    @Test
+    void aLargeQueryThatTheWindowWouldTakeInTooManyRoundsIsNotBegun() {
+        repeatable.quietTime = ms(100);
+        given.begun(repeatable, 1);
+        Query large = given.query(ms(0), repeatable, 1000);
+        given.decide.turnEnded(ms(0));
+        assertTrue(large.ended, "some thirty rounds of 100 ms are more than 2 s");
+        Query fair = given.query(ms(0), repeatable, 100);
+        given.decide.turnEnded(ms(0));
+        assertFalse(fair.ended);
+    }
 }
