An answer of discovery has one deadline from connecting to its last byte

Cause: LongPoll set a time for each read. Redirections were followed to any address, and a broken kept connection was asked on again at once, past the pauses of roster.Asking. Done: HttpGet, one GET at a time over one kept connection, the time left handed to every wait, heads and bodies bounded; LongPoll asks through it; close breaks a call off at once. Checked: LongPollTest on loopback. Against the old LongPoll trickling heads and bodies, stops in half bodies (fixed length and chunked) and the redirection fail; silence, spoilt heads and lengths, endless heads, all forms of bodies hold on both.

--- /dev/null
+++ b/src/main/java/postbeam/discovery/HttpGet.java
@@ -0,0 +1,220 @@
+package postbeam.discovery;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Proxy;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import postbeam.setup.Startup;
+
+/**
+ * GETs from one address, one at a time, over a connection that is kept between them. Each has one deadline, for
+ * connecting, head and body together: what stays silent, trickles or never ends is given up then, and its connection
+ * with it. Nothing is asked a second time and no redirection is followed: when to ask again is not decided here.
+ */
+final class HttpGet implements Closeable {
+    /** Bytes: a head here holds a hundred or two, and so does a line between chunks. */
+    private static final int LONGEST_HEAD = 8 << 10;
+    private static final int BUFFER = 4 << 10;
+
+    private final String address;
+    private final byte[] buffer = new byte[BUFFER];
+    private int at;
+    private int filled;
+    private long end;
+    private InputStream in;
+    private volatile Socket socket;
+    private boolean closed;
+
+    HttpGet(String address) {
+        this.address = address;
+    }
+
+    /** The body of a 200 of up to so many bytes; an IOException says why there is none within this time. */
+    byte[] get(String path, int longest, Duration within) throws IOException {
+        end = System.nanoTime() + within.toNanos();
+        boolean whole = false;
+        try {
+            Socket to = socket;
+            if (to == null) {
+                to = connect();
+            }
+            to.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            String[] status = line().split(" ", 3);
+            if (!status[0].startsWith("HTTP/1.") || status.length < 2) {
+                throw new IOException("not an answer of HTTP/1.1");
+            }
+            if (!status[1].equals("200")) {
+                throw new IOException("status " + status[1]);
+            }
+            byte[] body = body(longest);
+            whole = at == filled;
+            return body;
+        } catch (SocketTimeoutException e) {
+            throw new IOException("no whole answer in " + within.toMillis() + " ms", e);
+        } finally {
+            if (!whole) {
+                drop();
+            }
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket opening = new Socket(Proxy.NO_PROXY);
+        synchronized (this) {
+            if (closed) {
+                throw new IOException("closed");
+            }
+            socket = opening;
+        }
+        at = 0;
+        filled = 0;
+        opening.connect(Startup.socketAddress(address), left());
+        in = opening.getInputStream();
+        return opening;
+    }
+
+    /** What is left of the time, in ms; at least 1. */
+    private int left() throws SocketTimeoutException {
+        long left = end - System.nanoTime();
+        if (left <= 0) {
+            throw new SocketTimeoutException();
+        }
+        return (int) (left / 1_000_000 + 1);
+    }
+
+    /** The next byte, or -1 at the end. */
+    private int next() throws IOException {
+        return at < filled || fill() ? buffer[at++] & 0xff : -1;
+    }
+
+    private boolean fill() throws IOException {
+        Socket from = socket;
+        if (from == null) {
+            throw new IOException("closed");
+        }
+        from.setSoTimeout(left());
+        at = 0;
+        filled = Math.max(0, in.read(buffer));
+        return filled > 0;
+    }
+
+    private String line() throws IOException {
+        StringBuilder line = new StringBuilder();
+        int next;
+        while ((next = next()) != '\n') {
+            if (next < 0) {
+                throw new EOFException("closed before the answer's end");
+            }
+            if (line.length() == LONGEST_HEAD) {
+                throw new IOException("a line of over " + LONGEST_HEAD + " bytes");
+            }
+            line.append((char) next);
+        }
+        return line.toString().stripTrailing();
+    }
+
+    private byte[] body(int longest) throws IOException {
+        long length = -1;
+        boolean chunked = false;
+        boolean kept = true;
+        int head = 0;
+        String line;
+        while (!(line = line()).isEmpty()) {
+            head += line.length();
+            if (head > LONGEST_HEAD) {
+                throw new IOException("a head of over " + LONGEST_HEAD + " bytes");
+            }
+            int colon = line.indexOf(':');
+            String name = line.substring(0, Math.max(0, colon)).toLowerCase(Locale.ROOT);
+            String value = line.substring(colon + 1).strip();
+            switch (name) {
+                case "content-length" -> length = size(value, 10);
+                case "transfer-encoding" -> chunked = value.equalsIgnoreCase("chunked");
+                case "connection" -> kept = !value.equalsIgnoreCase("close");
+                default -> { }
+            }
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        if (chunked) {
+            long chunk;
+            while ((chunk = size(line().replaceFirst(";.*", "").strip(), 16)) > 0) {
+                take(body, chunk, longest);
+                if (!line().isEmpty()) {
+                    throw new IOException("a chunk that is longer than it says");
+                }
+            }
+            if (!line().isEmpty()) {
+                kept = false;
+            }
+        } else if (length >= 0) {
+            take(body, length, longest);
+        } else {
+            kept = false;
+            while (at < filled || fill()) {
+                take(body, filled - at, longest);
+            }
+        }
+        if (!kept) {
+            drop();
+        }
+        return body.toByteArray();
+    }
+
+    private static long size(String digits, int radix) throws IOException {
+        try {
+            long size = Long.parseLong(digits, radix);
+            if (size >= 0) {
+                return size;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, as what it is.
+        }
+        throw new IOException("a length that can't be read");
+    }
+
+    private void take(ByteArrayOutputStream body, long length, int longest) throws IOException {
+        if (length > longest - body.size()) {
+            throw new IOException("an answer of over " + longest + " bytes");
+        }
+        int missing = (int) length;
+        while (missing > 0) {
+            if (at == filled && !fill()) {
+                throw new EOFException("closed before the answer's end");
+            }
+            int some = Math.min(missing, filled - at);
+            body.write(buffer, at, some);
+            at += some;
+            missing -= some;
+        }
+    }
+
+    /** Gives the connection back; what is asked next gets a new one. */
+    private void drop() {
+        Socket dropped = socket;
+        socket = null;
+        if (dropped != null) {
+            try {
+                dropped.close();
+            } catch (IOException e) {
+                // It is given back all the same.
+            }
+        }
+    }
+
+    /** Breaks off a call that is out, at once, and lets none begin; may be called on any thread. */
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+        }
+        drop();
+    }
+}
--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -1,10 +1,6 @@
 package postbeam.discovery;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.HttpURLConnection;
-import java.net.Proxy;
-import java.net.URI;
 import java.time.Duration;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
@@ -32,18 +28,19 @@
     public record Source(String name, String address, String path, int longest) { }
 
     private final Source source;
+    private final HttpGet http;
     private final Reading<T> reading;
     private final ToLongFunction<T> version;
     private final Consumer<T> told;
     /** How long to wait after so many failures in a row. */
     private final IntFunction<Duration> pause;
     private volatile boolean stopped;
-    private volatile HttpURLConnection call;
     private int failures;
 
     public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told,
             IntFunction<Duration> pause) {
         this.source = source;
+        this.http = new HttpGet(source.address());
         this.reading = reading;
         this.version = version;
         this.told = told;
@@ -92,23 +89,7 @@
     }
 
     private T ask(String query, Duration within) throws IOException {
-        call = (HttpURLConnection) URI.create("http://" + source.address() + source.path() + query).toURL()
-                .openConnection(Proxy.NO_PROXY);
-        call.setConnectTimeout((int) SLACK.toMillis());
-        call.setReadTimeout((int) within.toMillis());
-        int status = call.getResponseCode();
-        if (status != HttpURLConnection.HTTP_OK) {
-            call.disconnect();
-            throw new IOException("status " + status);
-        }
-        try (InputStream body = call.getInputStream()) {
-            byte[] bytes = body.readNBytes(source.longest() + 1);
-            if (bytes.length > source.longest()) {
-                call.disconnect();
-                throw new IOException("an answer of over " + source.longest() + " bytes");
-            }
-            return reading.read(bytes);
-        }
+        return reading.read(http.get(source.path() + query, source.longest(), within));
     }
 
     /** Once it returns nothing more is told; a call that waits is broken off. */
@@ -116,9 +97,6 @@
         synchronized (this) {
             stopped = true;
         }
-        HttpURLConnection waiting = call;
-        if (waiting != null) {
-            waiting.disconnect();
-        }
+        http.close();
     }
 }
