What silence of discovery hid is asked for before it counts as told

Cause: pauses between failed calls were drawn up to one and a half times askEvery, and doubled without end where askEvery is not stated (512 s after eleven failures); a silent watch was given up just when what it missed counts, so that the pause and the list asked anew came after it; where the agent is told unasked, a call that was out when it came back held the list up for 2 s, as long as a drain leaves. Done: Asking.Pace states how discovery is followed, two ways: priced calls, whose longest pause leaves room for two calls within the 6 s, and the agent, whose calls end after 1 s. A watch is given up 1 s after its wait, and an answer that has begun when its rest takes longer than a whole one may. The layouts' watch keeps its wait and pause. Checked: with the pauses as before AskingTest fails (5.07 s after failure 4); without the bound on the rest the watch that falls silent in its answer is still waited for after 10 s.

--- a/src/main/java/postbeam/discovery/HttpGet.java
+++ b/src/main/java/postbeam/discovery/HttpGet.java
@@ -28,6 +28,8 @@
     private int at;
     private int filled;
     private long end;
+    /** What is left for the rest of an answer once it begins; 0 from then on. */
+    private long restNanos;
     private InputStream in;
     private volatile Socket socket;
     private boolean closed;
@@ -36,9 +38,13 @@
         this.address = address;
     }
 
-    /** The body of a 200 of up to so many bytes; an IOException says why there is none within this time. */
-    byte[] get(String path, int longest, Duration within) throws IOException {
+    /**
+     * The body of a 200 of up to so many bytes; an IOException says why there is none within this time. Connecting
+     * takes no longer than the rest, and once the first byte is there, so does what is still to come.
+     */
+    byte[] get(String path, int longest, Duration within, Duration rest) throws IOException {
         end = System.nanoTime() + within.toNanos();
+        restNanos = rest.toNanos();
         boolean whole = false;
         try {
             Socket to = socket;
@@ -58,7 +64,7 @@
             whole = at == filled;
             return body;
         } catch (SocketTimeoutException e) {
-            throw new IOException("no whole answer in " + within.toMillis() + " ms", e);
+            throw new IOException("no whole answer in time", e);
         } finally {
             if (!whole) {
                 drop();
@@ -76,7 +82,7 @@
         }
         at = 0;
         filled = 0;
-        opening.connect(Startup.socketAddress(address), left());
+        opening.connect(Startup.socketAddress(address), (int) Math.min(left(), restNanos / 1_000_000 + 1));
         in = opening.getInputStream();
         return opening;
     }
@@ -103,6 +109,10 @@
         from.setSoTimeout(left());
         at = 0;
         filled = Math.max(0, in.read(buffer));
+        if (restNanos > 0) {
+            end = Math.min(end, System.nanoTime() + restNanos);
+            restNanos = 0;
+        }
         return filled > 0;
     }
 
--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Consumer;
-import java.util.function.IntFunction;
 import java.util.function.ToLongFunction;
+import postbeam.roster.Asking;
 
 /**
  * Follows something that has versions over HTTP, on a thread of its own, so that nothing stands before what is told:
@@ -12,12 +12,11 @@
  */
 public final class LongPoll<T> implements Runnable {
     private static final System.Logger LOG = System.getLogger(LongPoll.class.getName());
-    /** How long a watch may wait: as in the protocol's example; what comes is told at once all the same. */
-    private static final Duration WAIT = Duration.ofSeconds(20);
-    /** How much longer than it may take an answer is waited for: by then it counts as told. */
-    private static final Duration SLACK = Duration.ofSeconds(2);
-    /** Between a failed call and the next, where the source costs nothing to ask: soon enough for a watch to go on. */
-    public static final IntFunction<Duration> SOON = failures -> Duration.ofMillis(100);
+    /**
+     * How much longer than its wait a watch is waited for: half of the 2 s after which what it missed counts as told;
+     * the other half is left for asking anew.
+     */
+    private static final Duration OVER = Duration.ofSeconds(1);
 
     /** Decodes a body; an IOException says what can't be used. */
     public interface Reading<T> {
@@ -32,19 +31,18 @@
     private final Reading<T> reading;
     private final ToLongFunction<T> version;
     private final Consumer<T> told;
-    /** How long to wait after so many failures in a row. */
-    private final IntFunction<Duration> pause;
+    private final Asking.Pace pace;
     private volatile boolean stopped;
     private int failures;
 
     public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told,
-            IntFunction<Duration> pause) {
+            Asking.Pace pace) {
         this.source = source;
         this.http = new HttpGet(source.address());
         this.reading = reading;
         this.version = version;
         this.told = told;
-        this.pause = pause;
+        this.pace = pace;
     }
 
     @Override
@@ -52,8 +50,8 @@
         long last = -1;
         while (!stopped) {
             try {
-                T next = last < 0 ? ask("", SLACK)
-                        : ask("?index=" + last + "&wait=" + WAIT.toMillis(), WAIT.plus(SLACK));
+                T next = last < 0 ? ask("", pace.answer())
+                        : ask("?index=" + last + "&wait=" + pace.hold().toMillis(), pace.hold().plus(OVER));
                 synchronized (this) {
                     if (stopped) {
                         return;
@@ -82,14 +80,14 @@
 
     private void pause() {
         try {
-            Thread.sleep(pause.apply(failures).toMillis());
+            Thread.sleep(pace.pause().apply(failures).toMillis());
         } catch (InterruptedException e) {
             stopped = true;
         }
     }
 
     private T ask(String query, Duration within) throws IOException {
-        return reading.read(http.get(source.path() + query, source.longest(), within));
+        return reading.read(http.get(source.path() + query, source.longest(), within, pace.answer()));
     }
 
     /** Once it returns nothing more is told; a call that waits is broken off. */
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -1,8 +1,7 @@
 package postbeam.discovery;
 
-import java.time.Duration;
 import java.util.function.Consumer;
-import java.util.function.IntFunction;
+import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
 
@@ -13,8 +12,8 @@
 
     private Watch() {}
 
-    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, IntFunction<Duration> pause) {
+    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, Asking.Pace pace) {
         return new LongPoll<>(new LongPoll.Source("discovery", address, "/v1/servers", LONGEST),
-                body -> ListForm.read(Json.object(body), cells), Told::version, told, pause);
+                body -> ListForm.read(Json.object(body), cells), Told::version, told, pace);
     }
 }
--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -24,6 +24,7 @@
 import java.util.function.Consumer;
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
+import postbeam.roster.Asking;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
@@ -101,7 +102,7 @@
         this.book = new Book(place.history());
         this.coordinator = new Coordinator(book, place.limits());
         this.orders = new NodeOrders(this::done);
-        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, LongPoll.SOON);
+        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, Asking.SOON);
         moves.setDaemon(true);
     }
 
--- a/src/main/java/postbeam/layouts/LayoutWatch.java
+++ b/src/main/java/postbeam/layouts/LayoutWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import postbeam.discovery.LongPoll;
+import postbeam.roster.Asking;
 import postbeam.setup.Json;
 import postbeam.slices.Layout;
 
@@ -14,6 +15,6 @@
 
     public static LongPoll<Layout> of(String address, Consumer<Layout> told) {
         return new LongPoll<>(new LongPoll.Source("layouts", address, "/v1/layout", LONGEST),
-                body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told, LongPoll.SOON);
+                body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told, Asking.SOON);
     }
 }
--- a/src/main/java/postbeam/roster/Asking.java
+++ b/src/main/java/postbeam/roster/Asking.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Random;
+import java.util.function.IntFunction;
 
 /**
  * When discovery is asked for a watch, where it tells nothing unasked: at once, and again after a failure or no answer.
@@ -14,6 +15,33 @@
     /** Time after which a call with no answer counts as failed: longer than discovery lets calls wait. */
     private static final Duration UNANSWERED = Duration.ofSeconds(5);
 
+    /** What a watch missed that fell silent counts as told so much later, by the protocol. */
+    private static final Duration TOLD_AFTER = Duration.ofSeconds(6);
+    /** How long a watch may wait as in the protocol's example. */
+    private static final Duration WAIT = Duration.ofSeconds(20);
+    /** How long a call may take where discovery itself answers: by the protocol's page it may queue for so long. */
+    private static final Duration PRICED_ANSWER = Duration.ofSeconds(2);
+    /** How long where the agent on the router's own machine does, which answers at once, back from an outage too. */
+    private static final Duration FREE_ANSWER = Duration.ofSeconds(1);
+    /** Between calls to it: soon enough for a watch to go on, and no loop that takes the core. */
+    private static final Duration FREE_PAUSE = Duration.ofMillis(100);
+    /** The longest that a drawn pause gets, as a multiple of its mean. */
+    private static final double DRAWN_MOST = 1.5;
+
+    /**
+     * How something is followed by calls that cost what is asked: how long a watch may wait for news, how long any
+     * other answer, or the rest of one that has begun, may take, and the pause after so many failures in a row.
+     */
+    public record Pace(Duration hold, Duration answer, IntFunction<Duration> pause) { }
+
+    /** Where calls cost nothing but themselves, and what is followed may be far: each wait as long as it may be. */
+    public static final Pace SOON = new Pace(WAIT, PRICED_ANSWER, failures -> FREE_PAUSE);
+
+    /**
+     * Where discovery tells the agent by itself, and the agent is asked at no cost.
+     */
+    public static final Pace FREE = new Pace(WAIT, FREE_ANSWER, failures -> FREE_PAUSE);
+
     private final boolean needed;
     private final Duration longest;
     private final Random chance;
@@ -48,10 +76,21 @@
         at = failed && needed ? now.plus(pause(failures, longest, chance)) : null;
     }
 
+    /**
+     * Where each call costs discovery work, and all routers may call at once: long waits and drawn pauses that grow,
+     * up to what still leaves room for two calls within the time that silence counts as told.
+     */
+    public static Pace priced(Duration askEvery, Random chance) {
+        Duration room = Duration.ofMillis(
+                Math.round(TOLD_AFTER.minus(PRICED_ANSWER.multipliedBy(2)).toMillis() / DRAWN_MOST));
+        Duration longest = askEvery == null || room.compareTo(askEvery) < 0 ? room : askEvery;
+        return new Pace(WAIT, PRICED_ANSWER, failures -> pause(failures, longest, chance));
+    }
+
     /** After so many failures in a row: from half to one and a half times the pause of that many. */
     public static Duration pause(int failures, Duration longest, Random chance) {
         Duration doubled = PAUSE.multipliedBy(1L << Math.min(failures - 1, 10));
         Duration mean = longest == null || doubled.compareTo(longest) < 0 ? doubled : longest;
-        return Duration.ofMillis(Math.round(mean.toMillis() * (0.5 + chance.nextDouble())));
+        return Duration.ofMillis(Math.round(mean.toMillis() * (DRAWN_MOST - 1 + chance.nextDouble())));
     }
 }
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntFunction;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -60,8 +59,8 @@
     private final ClientDoor rehearsalDoor;
     private Startup held;
     private LongPoll<Told> watch;
-    /** How long discovery is left alone after so many failures. */
-    private final IntFunction<Duration> pace;
+    /** How discovery is asked. */
+    private final Asking.Pace pace;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
@@ -118,8 +117,7 @@
         held = startup;
         Random chance = new Random(startup.seed());
         Duration askEvery = settings.span("obligations.askEvery");
-        pace = "subscribe".equals(settings.text("discovery"))
-                ? failures -> Asking.pause(failures, askEvery, chance) : LongPoll.SOON;
+        pace = "subscribe".equals(settings.text("discovery")) ? Asking.priced(askEvery, chance) : Asking.FREE;
         watch = Watch.of(discovery, cells, this::listed, pace);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
--- a/src/test/java/postbeam/AskingTest.java
+++ b/src/test/java/postbeam/AskingTest.java
@@ -50,4 +50,23 @@
         unneeded.answered(ms(0), true);
         assertNull(unneeded.at());
     }
+
+    /** The two paces against the clock for silence: what a silent call missed counts 6 s later, or 2 s after its wait. */
+    @Test
+    void whatASilentCallMissedIsAskedForBeforeItCountsAsTold() {
+        Random chance = new Random(3);
+        for (Duration askEvery : new Duration[] {null, ms(300), ms(10_000)}) {
+            Asking.Pace priced = Asking.priced(askEvery, chance);
+            for (int failures = 1; failures <= 60; failures++) {
+                Duration pause = priced.pause().apply(failures);
+                assertTrue(pause.compareTo(ms(100)) >= 0, "in step");
+                assertTrue(pause.plus(priced.answer().multipliedBy(2)).compareTo(ms(6_000)) <= 0,
+                        pause + " after failure " + failures);
+            }
+            // The first pause after a watch that was waited for 1 s over its wait.
+            assertTrue(priced.pause().apply(1).compareTo(ms(1_000)) <= 0);
+        }
+        // Two calls that find the agent still away or just back, within the 2 s that a drain leaves.
+        assertTrue(Asking.FREE.answer().plus(Asking.FREE.pause().apply(50)).compareTo(ms(1_500)) <= 0);
+    }
 }
--- a/src/test/java/postbeam/discovery/LongPollTest.java
+++ b/src/test/java/postbeam/discovery/LongPollTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import postbeam.roster.Asking;
 
 /** Against a discovery on loopback that answers as it is told to: the body of a list is its version alone. */
 @Timeout(60)
@@ -60,7 +61,7 @@
 
     private LongPoll<Long> watch(int port) {
         return new LongPoll<>(new LongPoll.Source("discovery", "127.0.0.1:" + port, "/v1/servers", 1000),
-                body -> read(new String(body, StandardCharsets.UTF_8)), version -> version, told::add, LongPoll.SOON);
+                body -> read(new String(body, StandardCharsets.UTF_8)), version -> version, told::add, Asking.SOON);
     }
 
     private static long read(String body) throws IOException {
@@ -174,6 +175,21 @@
         assertEquals(8L, told());
     }
 
+    /** The rest of an answer that has begun is not waited for as long as its beginning. */
+    @Test
+    void aWatchThatFallsSilentInItsAnswerIsGivenUpLongBeforeItsWaitIsOver() throws Exception {
+        way = (path, out) -> {
+            if (path.contains("index")) {
+                say(out, "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n12");
+                silent(out);
+            }
+            whole(out, String.valueOf(asked.size()));
+        };
+        follow();
+        assertEquals(1L, told());
+        assertEquals(3L, told());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoise", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
