Where asking the agent costs nothing a watch waits for 4 s, so a silent one is found in 5

Cause: a watch that fell silent was found 21 s after its call, for as long the router served by the old list; by the clock for silence that was in time, as the wait moves it, but calls went to nodes that drain. A wait of 4 s is the longest that does not move the 6 s. Where discovery is pushed the agent answers at no cost: a quarter of a call a second on the router's own machine. Where calls are priced the wait stays at 20 s: five times the calls would buy only a sooner clock. Checked: with 20 s there LongPollTest's silent watch is still waited for after 10 s, and AskingTest fails.

--- a/src/main/java/postbeam/roster/Asking.java
+++ b/src/main/java/postbeam/roster/Asking.java
@@ -17,9 +17,11 @@
 
     /** What a watch missed that fell silent counts as told so much later, by the protocol. */
     private static final Duration TOLD_AFTER = Duration.ofSeconds(6);
-    /** How long a watch may wait as in the protocol's example. */
+    /** Where the call may wait, it counts so long after the wait's end, if that is later. */
+    private static final Duration TOLD_AFTER_WAIT = Duration.ofSeconds(2);
+    /** How long a watch may wait where calls are priced or go far: as in the protocol's example. */
     private static final Duration WAIT = Duration.ofSeconds(20);
-    /** How long a call may take where discovery itself answers: by the protocol's page it may queue for so long. */
+    /** How long a call may take where discovery itself answers: it turns away what it could not answer within that. */
     private static final Duration PRICED_ANSWER = Duration.ofSeconds(2);
     /** How long where the agent on the router's own machine does, which answers at once, back from an outage too. */
     private static final Duration FREE_ANSWER = Duration.ofSeconds(1);
@@ -38,9 +40,11 @@
     public static final Pace SOON = new Pace(WAIT, PRICED_ANSWER, failures -> FREE_PAUSE);
 
     /**
-     * Where discovery tells the agent by itself, and the agent is asked at no cost.
+     * Where discovery tells the agent by itself, and the agent is asked at no cost. The watch waits for as long as it
+     * can without moving the time that what a silent one missed counts as told; a longer one would serve by an old
+     * list for longer and save nothing that is priced.
      */
-    public static final Pace FREE = new Pace(WAIT, FREE_ANSWER, failures -> FREE_PAUSE);
+    public static final Pace FREE = new Pace(TOLD_AFTER.minus(TOLD_AFTER_WAIT), FREE_ANSWER, failures -> FREE_PAUSE);
 
     private final boolean needed;
     private final Duration longest;
--- a/src/test/java/postbeam/AskingTest.java
+++ b/src/test/java/postbeam/AskingTest.java
@@ -68,5 +68,6 @@
         }
         // Two calls that find the agent still away or just back, within the 2 s that a drain leaves.
         assertTrue(Asking.FREE.answer().plus(Asking.FREE.pause().apply(50)).compareTo(ms(1_500)) <= 0);
+        assertTrue(Asking.FREE.hold().plus(ms(2_000)).compareTo(ms(6_000)) <= 0);
     }
 }
--- a/src/test/java/postbeam/discovery/LongPollTest.java
+++ b/src/test/java/postbeam/discovery/LongPollTest.java
@@ -61,7 +61,7 @@
 
     private LongPoll<Long> watch(int port) {
         return new LongPoll<>(new LongPoll.Source("discovery", "127.0.0.1:" + port, "/v1/servers", 1000),
-                body -> read(new String(body, StandardCharsets.UTF_8)), version -> version, told::add, Asking.SOON);
+                body -> read(new String(body, StandardCharsets.UTF_8)), version -> version, told::add, Asking.FREE);
     }
 
     private static long read(String body) throws IOException {
@@ -175,6 +175,21 @@
         assertEquals(8L, told());
     }
 
+    /** At the agent, which costs nothing to ask: nodes that drain meanwhile are known before it counts. */
+    @Test
+    void aWatchThatFallsSilentIsGivenUpAndTheListAskedForOnANewConnection() throws Exception {
+        way = (path, out) -> {
+            if (path.contains("index")) {
+                silent(out);
+            }
+            whole(out, String.valueOf(asked.size()));
+        };
+        follow();
+        assertEquals(1L, told());
+        assertEquals(3L, told());
+        assertTrue(sockets.size() >= 2);
+    }
+
     /** The rest of an answer that has begun is not waited for as long as its beginning. */
     @Test
     void aWatchThatFallsSilentInItsAnswerIsGivenUpLongBeforeItsWaitIsOver() throws Exception {
