A watch answered at once with nothing new is not asked in a loop, nor one whose version goes back

Cause: discovery that answers each watch at once with the version held was asked 4,600 times a second, one that tells a version below 0 13,000 times (it was taken for no list held, with no pause); a watch that told changes of an older version than the one held had them taken over it. Done: after a watch that brought nothing new in under half of its wait, the first pause of a failure; a version below 0, or one that goes back in a watch, is a spoilt answer, after which the whole list is asked for and taken as it is. Checked: LongPollTest's three cases fail on the LongPoll before.

--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -50,19 +50,30 @@
         long last = -1;
         while (!stopped) {
             try {
+                long asked = System.nanoTime();
                 T next = last < 0 ? ask("", pace.answer())
                         : ask("?index=" + last + "&wait=" + pace.hold().toMillis(), pace.hold().plus(OVER));
+                long is = version.applyAsLong(next);
+                if (is < Math.max(0, last)) {
+                    // Changes of something else than what is held; a whole list is taken as it is.
+                    throw new IOException("version " + is + (last < 0 ? "" : " after " + last));
+                }
                 synchronized (this) {
                     if (stopped) {
                         return;
                     }
                     told.accept(next);
                 }
-                last = version.applyAsLong(next);
+                // A watch that is answered with nothing new before its wait is over would be asked without end.
+                boolean idle = is == last && System.nanoTime() - asked < pace.hold().toNanos() / 2;
+                last = is;
                 if (failures > 0) {
                     LOG.log(System.Logger.Level.INFO, "{0} answers again, version {1}", source.name(), last);
                 }
                 failures = 0;
+                if (idle) {
+                    pause(1);
+                }
             } catch (IOException | RuntimeException | Error e) {
                 if (stopped) {
                     return;
@@ -73,14 +84,14 @@
                 }
                 // The whole again: what a half answer would have told is not lost.
                 last = -1;
-                pause();
+                pause(failures);
             }
         }
     }
 
-    private void pause() {
+    private void pause(int after) {
         try {
-            Thread.sleep(pace.pause().apply(failures).toMillis());
+            Thread.sleep(pace.pause().apply(after).toMillis());
         } catch (InterruptedException e) {
             stopped = true;
         }
--- a/src/test/java/postbeam/discovery/LongPollTest.java
+++ b/src/test/java/postbeam/discovery/LongPollTest.java
@@ -230,6 +230,33 @@
         assertEquals(8L, told());
     }
 
+    /** A loop asks thousands of times in that second; a slow machine only asks less often. */
+    @ParameterizedTest
+    @ValueSource(strings = {"7", "-1"})
+    void whatIsAnsweredAtOnceWithNothingNewIsNotAskedWithoutEnd(String version) throws Exception {
+        way = (path, out) -> whole(out, version);
+        follow();
+        assertEquals("/v1/servers", asked.take());
+        Thread.sleep(1000);
+        assertTrue(asked.size() <= 20, asked.size() + " calls in a second");
+    }
+
+    @Test
+    void aWatchWhoseVersionGoesBackTellsNothingAndTheWholeListIsTakenAsItIs() throws Exception {
+        way = (path, out) -> {
+            if (path.contains("index=30")) {
+                silent(out);
+            }
+            whole(out, asked.size() == 1 ? "41" : asked.size() == 2 ? "29" : "30");
+        };
+        follow();
+        assertEquals(41L, told());
+        assertEquals(30L, told());
+        assertEquals("/v1/servers", asked.poll());
+        assertTrue(asked.poll().startsWith("/v1/servers?index=41&"));
+        assertEquals("/v1/servers", asked.poll());
+    }
+
     /** Where it is read from is what the configuration names, and nothing else. */
     @Test
     void noRedirectionIsFollowed() throws Exception {
