A stop answers what had come on open connections while the router was late

Cause: at the end of a stop ClientDoor.close closed all connections between requests in one task of the I/O thread, before it read again: what clients had sent on them while the router was late was closed with no answer. Clients send on every connection that stays open, and such a request counts. Checked: ClientDoorTest holds the I/O thread, closes, sends, lets go: end of stream before, the answer with Connection: close now.

--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -102,6 +102,8 @@
     private volatile boolean leaving;
     private volatile long leaveAt;
     private volatile boolean closing;
+    /** On the I/O thread alone: no connection is left that is between requests. */
+    private boolean closed;
 
     /** The usual wait of a vertical is null where the settings state none. */
     public ClientDoor(XnioWorker worker, InetSocketAddress listen, Queries queries, Map<String, Duration> usualWaits,
@@ -449,17 +451,36 @@
         return connections.isEmpty();
     }
 
-    /** Whether all requests are answered to their last byte; to be asked on the I/O thread. */
+    /** Whether it is closed and all requests are answered to their last byte; to be asked on the I/O thread. */
     public boolean idle() {
-        return connections.stream().noneMatch(connection -> connection.busy);
+        return closed && connections.stream().noneMatch(connection -> connection.busy);
     }
 
-    /** Takes no new connection, and closes those that are between requests. */
+    /** Takes no new connection, and closes those that are between requests; those in one after its answer. */
     public void close() {
         closing = true;
         IoUtils.safeClose(server);
-        io.execute(() -> List.copyOf(connections).stream().filter(connection -> !connection.busy)
-                .forEach(IoUtils::safeClose));
+        io.execute(this::closeUnused);
+    }
+
+    /**
+     * Each is looked at twice, as in {@link #cut}: clients send on every connection that stays open, and what has come
+     * while the router is late is no crossing of its closing, but a request that would get no answer.
+     */
+    private void closeUnused() {
+        boolean again = false;
+        for (ClientConnection connection : List.copyOf(connections)) {
+            if (!connection.busy && connection.lookedAt) {
+                IoUtils.safeClose(connection);
+            } else if (!connection.busy) {
+                connection.lookedAt = true;
+                again = true;
+            }
+        }
+        closed = !again;
+        if (again) {
+            io.executeAfter(this::closeUnused, SWEEP.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Gives the threads back, once all is answered. */
--- /dev/null
+++ b/src/test/java/postbeam/clients/ClientDoorTest.java
@@ -0,0 +1,125 @@
+package postbeam.clients;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import postbeam.router.Asked;
+import postbeam.router.OpenQuery;
+import postbeam.router.Step;
+
+@Timeout(30)
+class ClientDoorTest {
+    private XnioWorker worker;
+    private ClientDoor door;
+    private Socket client;
+    private BufferedReader answers;
+
+    @BeforeEach
+    void open() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        door = new ClientDoor(worker, new InetSocketAddress("127.0.0.1", 0), new ClientDoor.Queries() {
+            @Override
+            public OpenQuery take(Asked asked, Duration age) {
+                throw new UnsupportedOperationException();
+            }
+
+            @Override
+            public Step serve(OpenQuery q) {
+                throw new UnsupportedOperationException();
+            }
+
+            @Override
+            public void left(OpenQuery q) { }
+
+            @Override
+            public boolean ready() {
+                return true;
+            }
+        }, Map.of(), Set.of(), 1, 8);
+        door.start();
+        client = new Socket("127.0.0.1", Integer.parseInt(door.address().replaceAll(".*:", "")));
+        answers = new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
+    }
+
+    @AfterEach
+    void giveBack() throws IOException {
+        client.close();
+        door.stop();
+        worker.shutdownNow();
+    }
+
+    private void ask() throws IOException {
+        client.getOutputStream().write("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Its lines; what follows the empty one is left but for its one line. */
+    private List<String> answer() throws IOException {
+        List<String> lines = new ArrayList<>();
+        String line;
+        while ((line = answers.readLine()) != null) {
+            lines.add(line);
+            if (line.isEmpty()) {
+                lines.add(answers.readLine());
+                break;
+            }
+        }
+        return lines;
+    }
+
+    /** The router is late: the request has come, and is unread when the door is told to close. */
+    @Test
+    void aRequestThatCameBeforeTheDoorClosedIsAnsweredAndIsTheLast() throws Exception {
+        ask();
+        assertEquals("HTTP/1.1 200 OK", answer().get(0));
+        CountDownLatch late = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> {
+            try {
+                late.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        door.close();
+        ask();
+        late.countDown();
+        List<String> answer = answer();
+        assertTrue(!answer.isEmpty() && answer.get(0).equals("HTTP/1.1 200 OK"), answer.toString());
+        assertTrue(answer.contains("Connection: close"), answer.toString());
+        assertEquals(-1, answers.read());
+    }
+
+    @Test
+    void aConnectionThatIsNotUsedIsClosedAndOnlyThenIsTheDoorIdle() throws Exception {
+        ask();
+        answer();
+        door.close();
+        assertEquals(-1, answers.read());
+        boolean idle = false;
+        while (!idle) {
+            FutureTask<Boolean> asked = new FutureTask<>(door::idle);
+            worker.getIoThread().execute(asked);
+            idle = asked.get();
+        }
+    }
+}
