A list of up to 256 KiB is read: indented, 300 nodes take 84,000 bytes

Cause: lists may come indented, and one over the protocol's 64 KiB for a body was refused each time it was asked for, so that the list held stayed for good. 200 nodes and 100 that leave, indented by 8 and 12, come to 84,058 bytes. Done: the bound in Watch is four times the protocol's. What never ends is still given up, by bytes and by time. Checked: LongPollTest's list is not told with 64 KiB.

--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -7,8 +7,8 @@
 
 /** The watch of the data-node list. */
 public final class Watch {
-    /** Bytes: the protocol's limit for a body. */
-    private static final int LONGEST = 64 << 10;
+    /** Bytes: four times the protocol's limit for a body, as lists may come indented with nodes that leave in them. */
+    private static final int LONGEST = 256 << 10;
 
     private Watch() {}
 
