--- a/src/main/java/postbeam/state/Vertical.java
+++ b/src/main/java/postbeam/state/Vertical.java
@@ -16,7 +16,13 @@
     public final double floor;
     /** What a partial answer earns, times share / need. */
     public final double shortUtility;
+    /** What the parts are that come once a first answer is put together; null where a query has one step. */
+    public final Vertical second;
 
+    /** How long a client waits in all, with its repeats; null where not stated. Set up once. */
+    public Duration allWait;
+    /** What clients wait at their first try, the shorter of late; null before one. */
+    public Duration firstWait;
     /** Time that a part takes at a node with nothing else to do, as learnt; null before the first. */
     public Duration quietTime;
     /** When an answer last told of it. */
@@ -24,6 +30,11 @@
 
     public Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
             double need, double floor, double shortUtility) {
+        this(sloTime, effect, repeatWindow, utility, lateUtility, need, floor, shortUtility, null);
+    }
+
+    private Vertical(Duration sloTime, Effect effect, Duration repeatWindow, double utility, double lateUtility,
+            double need, double floor, double shortUtility, Vertical second) {
         this.sloTime = sloTime;
         this.effect = effect;
         this.repeatWindow = repeatWindow;
@@ -32,6 +43,14 @@
         this.need = need;
         this.floor = floor;
         this.shortUtility = shortUtility;
+        this.second = second;
+    }
+
+    /** The same with a second step. */
+    public Vertical followedBy(Vertical second) {
+        Vertical both = new Vertical(sloTime, effect, repeatWindow, utility, lateUtility, need, floor, shortUtility, second);
+        both.allWait = allWait;
+        return both;
     }
 
     public boolean anyN() {
