--- /dev/null
+++ b/src/main/java/postbeam/pages/Lineage.java
@@ -0,0 +1,15 @@
+package postbeam.pages;
+
+import java.util.List;
+import postbeam.slices.KeyRange;
+
+/** What pages need to know of the layout in force: whose versions it knows, and what became of keys. */
+public interface Lineage {
+    long version();
+
+    /** The oldest version whose slices it knows. */
+    long oldest();
+
+    /** These keys, cut along the slices in force. */
+    List<KeyRange> cut(KeyRange keys);
+}
