--- a/src/main/java/postbeam/pages/Assembly.java
+++ b/src/main/java/postbeam/pages/Assembly.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 import postbeam.slices.KeyRange;
 
 /**
@@ -22,16 +23,17 @@
         final Track root;
         final KeyRange keys;
         final List<Row> rows;
-        /** It has rows that were not seen, all after what was reached. */
-        boolean open;
+        /** The last row that was seen of it; null: none. */
         final Mark reached;
+        /** No row that was not seen comes before it; null: all have been seen, or it was asked again since. */
+        Mark next;
 
-        Track(Track root, KeyRange keys, List<Row> rows, boolean open, Mark reached) {
+        Track(Track root, KeyRange keys, List<Row> rows, Mark reached, Mark next) {
             this.root = root == null ? this : root;
             this.keys = keys;
             this.rows = rows;
-            this.open = open;
             this.reached = reached;
+            this.next = next;
         }
     }
 
@@ -46,7 +48,6 @@
     private List<Track> askedAgain = List.of();
     private boolean begun;
     private int fetched;
-    private int furtherAsks;
 
     public Assembly(Order order, int size, List<Standing> standings, Shares shares) {
         this.order = order;
@@ -97,11 +98,15 @@
             furthest = order.later(furthest, one.after());
         }
         double[] expected = shares.of(cut);
-        List<Ask> asks = new ArrayList<>();
-        for (int i = 0; i < cut.size(); i++) {
+        boolean[] owing = new boolean[cut.size()];
+        for (int i = 0; i < owing.length; i++) {
             Mark after = cut.get(i).after();
-            boolean owing = furthest != null && (after == null || order.compare(after, furthest) < 0);
-            asks.add(new Ask(cut.get(i).keys(), after, shares.rows(size, expected[i], owing)));
+            owing[i] = furthest != null && (after == null || order.compare(after, furthest) < 0);
+        }
+        int[] rows = shares.rows(size, expected, owing);
+        List<Ask> asks = new ArrayList<>();
+        for (int i = 0; i < rows.length; i++) {
+            asks.add(new Ask(cut.get(i).keys(), cut.get(i).after(), rows[i]));
         }
         return asks;
     }
@@ -115,13 +120,9 @@
         List<Row> seen = Merge.first(merging, lists(), size, null);
         Mark last = seen.size() < size ? null : seen.get(size - 1).at();
         List<Track> wanting = new ArrayList<>();
-        List<Standing> open = new ArrayList<>();
         for (Track track : tracks) {
-            if (track.open) {
-                open.add(new Standing(track.keys, weight(track.keys), null));
-                if (last == null || order.compare(track.reached, last) < 0) {
-                    wanting.add(track);
-                }
+            if (track.next != null && (last == null || order.compare(track.next, last) < 0)) {
+                wanting.add(track);
             }
         }
         double[] expected = shares.of(rootStandings());
@@ -133,10 +134,10 @@
         for (Track track : wanting) {
             int between = 0;
             for (Row row : seen) {
-                between += order.compare(row.at(), track.reached) > 0 ? 1 : 0;
+                between += order.compare(row.at(), track.next) > 0 ? 1 : 0;
             }
             double share = share(track, expected);
-            int rows = shares.further(between * share / Math.max(share, 1 - share)
+            int rows = shares.further(between * share / Math.max(0.5, 1 - share)
                     + (size - seen.size()) * share / Math.max(among, Double.MIN_NORMAL), size);
             for (Standing one : standings) {
                 if (one.keys().meets(track.keys)) {
@@ -147,7 +148,6 @@
             }
         }
         askedAgain = wanting;
-        furtherAsks += asks.size();
         return asks;
     }
 
@@ -190,7 +190,7 @@
         came.sort(Comparator.comparing(Partial::keys));
         if (!begun) {
             for (Partial one : came) {
-                Track track = new Track(null, one.keys(), one.rows(), one.more(), reached(one, null));
+                Track track = new Track(null, one.keys(), one.rows(), reached(one, null), one.next());
                 tracks.add(track);
                 roots.add(track);
             }
@@ -208,7 +208,8 @@
 
     /** What came for a range that was asked again; its slice may have been cut or joined since. */
     private void follow(Track asked) {
-        asked.open = false;
+        Mark unseen = asked.next;
+        asked.next = null;
         long at = asked.keys.from();
         for (Partial one : came) {
             if (!one.keys().meets(asked.keys)) {
@@ -216,16 +217,16 @@
             }
             KeyRange common = one.keys().common(asked.keys);
             if (common.from() > at) {
-                tracks.add(new Track(asked.root, new KeyRange(at, common.from()), List.of(), true, asked.reached));
+                tracks.add(new Track(asked.root, new KeyRange(at, common.from()), List.of(), asked.reached, unseen));
             }
             List<Row> rows = one.rows().stream()
                     .filter(row -> row.at().key() >= common.from() && row.at().key() < common.to()).toList();
-            tracks.add(new Track(asked.root, common, rows, one.more(), order.later(asked.reached,
-                    reached(one, asked.reached))));
+            tracks.add(new Track(asked.root, common, rows, order.later(asked.reached,
+                    reached(one, asked.reached)), one.next()));
             at = common.to();
         }
         if (at < asked.keys.to()) {
-            tracks.add(new Track(asked.root, new KeyRange(at, asked.keys.to()), List.of(), true, asked.reached));
+            tracks.add(new Track(asked.root, new KeyRange(at, asked.keys.to()), List.of(), asked.reached, unseen));
         }
     }
 
@@ -235,8 +236,8 @@
     protected Mark bound() {
         Mark bound = null;
         for (Track track : tracks) {
-            if (track.open && (bound == null || order.compare(track.reached, bound) < 0)) {
-                bound = track.reached;
+            if (track.next != null && (bound == null || order.compare(track.next, bound) < 0)) {
+                bound = track.next;
             }
         }
         return bound;
@@ -255,8 +256,8 @@
         for (Standing one : standings) {
             after(one, last, missing, next);
         }
-        shares.learnt(rows, fetched, furtherAsks, standings);
-        return new Page(rows, missing, fewest(next), rows.size() < size && tracks.stream().anyMatch(track -> track.open),
+        shares.learnt(rows, rootStandings());
+        return new Page(rows, missing, fewest(next), rows.size() < size && tracks.stream().anyMatch(track -> track.next != null),
                 fetched);
     }
 
@@ -296,7 +297,7 @@
     /** All of it has been seen, and given up to this mark. */
     private boolean over(Track root, Mark last) {
         for (Track track : tracks) {
-            if (track.root == root && (track.open || !track.rows.isEmpty()
+            if (track.root == root && (track.next != null || !track.rows.isEmpty()
                     && (last == null || order.compare(track.rows.get(track.rows.size() - 1).at(), last) > 0))) {
                 return false;
             }
@@ -318,7 +319,7 @@
     }
 
     private static boolean touchAlike(Standing one, Standing other) {
-        return one.keys().to() == other.keys().from() && java.util.Objects.equals(one.after(), other.after());
+        return one.keys().to() == other.keys().from() && Objects.equals(one.after(), other.after());
     }
 
     private static Standing joined(Standing one, Standing other) {
@@ -334,9 +335,4 @@
         joined(next, fewer, 0);
         return fewer;
     }
-
-    /** How often a range was asked again. */
-    public int furtherAsks() {
-        return furtherAsks;
-    }
 }
--- a/src/main/java/postbeam/pages/Merge.java
+++ b/src/main/java/postbeam/pages/Merge.java
@@ -22,7 +22,7 @@
 
     private Merge() {}
 
-    /** The first rows of all lists, so many at the most and none beyond the bound; null: there is none. */
+    /** The first rows of all lists, so many at the most and none that does not come before the bound; null: there is none. */
     public static List<Row> first(Comparator<Mark> order, List<List<Row>> lists, int most, Mark bound) {
         PriorityQueue<Head> heads = new PriorityQueue<>(Math.max(1, lists.size()),
                 (one, other) -> order.compare(one.mark(), other.mark()));
@@ -35,7 +35,7 @@
         while (merged.size() < most && !heads.isEmpty()) {
             Head least = heads.poll();
             Row row = least.rows.get(least.at);
-            if (bound != null && order.compare(row.at(), bound) > 0) {
+            if (bound != null && order.compare(row.at(), bound) >= 0) {
                 break;
             }
             merged.add(row);
--- a/src/main/java/postbeam/pages/Partial.java
+++ b/src/main/java/postbeam/pages/Partial.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import postbeam.slices.KeyRange;
 
-/** What a part gave: rows of its keys in order, and whether it has more. */
-public record Partial(KeyRange keys, List<Row> rows, boolean more) {
+/** What a part gave: rows of its keys in order, and where the next one stands that it has; null: it has no more. */
+public record Partial(KeyRange keys, List<Row> rows, Mark next) {
     public Partial {
         rows = List.copyOf(rows);
     }
@@ -17,28 +17,33 @@
         if (rows.size() > Ask.rows(asks, keys)) {
             return rows.size() + " rows where " + Ask.rows(asks, keys) + " were asked for";
         }
-        if (more && rows.isEmpty()) {
+        if (next != null && rows.isEmpty()) {
             return "no row, and more to come";
         }
         Mark last = null;
         for (Row row : rows) {
-            String problem = row.at().problem(order);
+            String problem = problem(order, asks, last, row.at());
             if (problem != null) {
-                return "a row can't be used: " + problem;
-            }
-            if (last != null && order.compare(last, row.at()) >= 0) {
-                return "a row out of order";
+                return problem;
             }
             last = row.at();
-            if (last.key() < keys.from() || last.key() >= keys.to()) {
-                return "a row of other keys";
-            }
-            Mark after = after(asks, last.key());
-            if (after != null && order.compare(after, last) >= 0) {
-                return "a row that had been given before";
-            }
         }
-        return null;
+        return next == null ? null : problem(order, asks, last, next);
+    }
+
+    private String problem(Order order, List<Ask> asks, Mark last, Mark mark) {
+        String problem = mark.problem(order);
+        if (problem != null) {
+            return "a row can't be used: " + problem;
+        }
+        if (last != null && order.compare(last, mark) >= 0) {
+            return "a row out of order";
+        }
+        if (mark.key() < keys.from() || mark.key() >= keys.to()) {
+            return "a row of other keys";
+        }
+        Mark after = after(asks, mark.key());
+        return after != null && order.compare(after, mark) >= 0 ? "a row that had been given before" : null;
     }
 
     private static Mark after(List<Ask> asks, long key) {
--- a/src/main/java/postbeam/pages/RowForm.java
+++ b/src/main/java/postbeam/pages/RowForm.java
@@ -15,7 +15,8 @@
 /**
  * Asks and rows as they travel between routers and data nodes, and rows as clients get them, in JSON. An ask:
  * {"order":[{"by":NAME,"descending":B,"missing":"first"}],"asks":[[FROM,TO,ROWS,MARK]],"marks":[[[SORT..],KEY,SEQUENCE]]},
- * MARK being a place in marks or -1; what a part gives: {"rows":[[[SORT..],KEY,SEQUENCE,TEXT]],"more":B}.
+ * MARK being a place in marks or -1; what a part gives: {"rows":[[[SORT..],KEY,SEQUENCE,TEXT]],"next":[[SORT..],KEY,SEQUENCE]}, without next if it has no
+ * more.
  */
 public final class RowForm {
     private RowForm() {}
@@ -112,7 +113,11 @@
         return written(json -> {
             json.writeStartObject();
             rows(json, partial.rows());
-            json.writeBooleanField("more", partial.more());
+            if (partial.next() != null) {
+                json.writeArrayFieldStart("next");
+                write(json, partial.next());
+                json.writeEndArray();
+            }
             json.writeEndObject();
         });
     }
@@ -128,7 +133,7 @@
             }
             rows.add(new Row(mark(row), text));
         }
-        return new Partial(keys, rows, Json.member(told, "more", Boolean.class));
+        return new Partial(keys, rows, told.containsKey("next") ? mark(list(told.get("next"), 3)) : null);
     }
 
     /** Writes the rows as a member of the object that is open: alike for like rows, from any router. */
--- /dev/null
+++ b/src/main/java/postbeam/rig/PagesWorld.java
@@ -0,0 +1,406 @@
+package postbeam.rig;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import postbeam.errors.ExplainedException;
+import postbeam.pages.Ask;
+import postbeam.pages.Assembly;
+import postbeam.pages.Cursor;
+import postbeam.pages.CursorSeal;
+import postbeam.pages.Lineage;
+import postbeam.pages.Mark;
+import postbeam.pages.Order;
+import postbeam.pages.Page;
+import postbeam.pages.PageError;
+import postbeam.pages.Partial;
+import postbeam.pages.Row;
+import postbeam.pages.RowForm;
+import postbeam.pages.Shares;
+import postbeam.pages.SortKey;
+import postbeam.pages.Standing;
+import postbeam.router.LayoutLineage;
+import postbeam.slices.Change;
+import postbeam.slices.Fragment;
+import postbeam.slices.KeyRange;
+import postbeam.slices.Layout;
+import postbeam.slices.Slice;
+
+/**
+ * One chain of pages over random rows, by routers that share nothing but the key that signs, while slices are re-cut,
+ * ranges are missing and nodes spoil answers; every choice from one seed. What comes is held against a plain sort.
+ */
+final class PagesWorld {
+    private static final List<String> NODES = List.of("a", "b", "c", "d");
+    private static final int ROUTERS = 3;
+    private static final int FURTHER_ROUNDS = 2;
+    /** Pages after which nothing is missing any more, so that the chain ends. */
+    private static final int TROUBLED_PAGES = 25;
+    private static final int PAGES_MOST = 3000;
+    private static final List<String> KEYS = List.of("1d".repeat(32), "e9".repeat(32));
+
+    /** A router: what it has learnt, how it signs, and which layout it has heard of. */
+    private static final class Reader {
+        final Shares shares = new Shares();
+        final CursorSeal seal;
+        int layout;
+
+        Reader(CursorSeal seal) {
+            this.seal = seal;
+        }
+    }
+
+    private final Random chance;
+    private final PlantedPages.Defect defect;
+    private final List<Row> rows = new ArrayList<>();
+    private final Order order;
+    private final List<Layout> layouts = new ArrayList<>();
+    private final List<Reader> readers = new ArrayList<>();
+    private final List<Standing> asked = new ArrayList<>();
+    private final long history;
+    private final double missing;
+    private final double spoilt;
+    private final List<String> broken = new ArrayList<>();
+    private int nextSlice;
+    private int pages;
+    private int pagesMissing;
+    private int pagesShort;
+    private int given;
+    private int fetched;
+    private int calls;
+    private int longestCursor;
+
+    PagesWorld(long seed, PlantedPages.Defect defect) {
+        chance = new Random(seed);
+        this.defect = defect;
+        order = order();
+        makeRows();
+        nextSlice = 2 + chance.nextInt(20);
+        layouts.add(Layout.first(nextSlice, NODES, 2));
+        history = chance.nextInt(4) == 0 ? 4 : 1000;
+        missing = chance.nextInt(2) * 0.2 * chance.nextDouble();
+        spoilt = chance.nextInt(2) * 0.1 * chance.nextDouble();
+        for (int i = 0; i < ROUTERS; i++) {
+            try {
+                readers.add(new Reader(i % 2 == 0 ? new CursorSeal(KEYS.get(0), KEYS.get(1))
+                        : new CursorSeal(KEYS.get(1), KEYS.get(0))));
+            } catch (ExplainedException e) {
+                throw new IllegalArgumentException(e);
+            }
+        }
+        List<Slice> slices = layouts.get(0).slices();
+        for (Slice slice : slices) {
+            if (slices.size() < 4 || chance.nextInt(5) > 0) {
+                asked.add(new Standing(slice.keys(), 1.0 / slices.size(), null));
+            }
+        }
+        if (asked.isEmpty()) {
+            asked.add(new Standing(slices.get(0).keys(), 1, null));
+        }
+    }
+
+    private Order order() {
+        List<SortKey> keys = new ArrayList<>();
+        for (int i = 0; i <= chance.nextInt(3); i++) {
+            keys.add(new SortKey("k" + i, chance.nextBoolean(), chance.nextBoolean()));
+        }
+        return new Order(keys);
+    }
+
+    /** Few values, so that there are many ties; some missing, some texts beside numbers; keys even or in a heap. */
+    private void makeRows() {
+        int count = 20 + chance.nextInt(600);
+        int values = 1 + chance.nextInt(30);
+        double heap = chance.nextBoolean() ? 1 : 1 + 4 * chance.nextDouble();
+        for (int i = 0; i < count; i++) {
+            List<Object> sort = new ArrayList<>();
+            for (int j = 0; j < order.keys().size(); j++) {
+                long value = chance.nextInt(values);
+                int kind = chance.nextInt(10);
+                sort.add(kind < 2 ? null : kind < 5 ? "v" + value : (Object) value);
+            }
+            long key = (long) (Math.pow(chance.nextDouble(), heap) * KeyRange.KEYS);
+            // Some keys have several rows: then the sequence tells them apart.
+            Mark before = i > 0 && chance.nextInt(4) == 0 ? rows.get(i - 1).at() : null;
+            rows.add(new Row(new Mark(before == null ? sort : before.sort(), before == null ? key : before.key(), i),
+                    "row " + i));
+        }
+    }
+
+    // ---- the chain
+
+    /** What was found, a line each. */
+    List<String> run() {
+        List<Row> chain = new ArrayList<>();
+        Set<Long> excused = new HashSet<>();
+        Mark furthest = null;
+        boolean everMissing = false;
+        long digest = CursorSeal.digest("search", "acme", "x".getBytes(StandardCharsets.UTF_8), order);
+        int size = 1 + chance.nextInt(60);
+        String text = null;
+        do {
+            if (++pages > PAGES_MOST) {
+                broken.add("the chain does not end");
+                return broken;
+            }
+            recut();
+            Reader reader = readers.get(chance.nextInt(ROUTERS));
+            Lineage lineage = heard(reader);
+            List<Standing> standings = asked;
+            if (text != null) {
+                Cursor cursor = opened(reader, text, digest);
+                if (cursor == null) {
+                    return broken;
+                }
+                lineage = lineage(reader);
+                standings = cursor.standings();
+            }
+            Page page = page(reader, lineage, standings, size);
+            if (page == null) {
+                return broken;
+            }
+            everMissing |= !page.missing().isEmpty();
+            ordered(page, furthest, excused);
+            page.missing().forEach(keys -> rows.stream().filter(row -> keys.from() <= row.at().key()
+                    && row.at().key() < keys.to()).forEach(row -> excused.add(row.at().sequence())));
+            chain.addAll(page.rows());
+            for (Row row : page.rows()) {
+                furthest = furthest == null || order.compare(furthest, row.at()) < 0 ? row.at() : furthest;
+            }
+            text = page.next().isEmpty() ? null : sealed(reader, new Cursor(lineage.version(), digest, page.next()));
+        } while (text != null && broken.isEmpty());
+        whole(chain, everMissing);
+        return broken;
+    }
+
+    private String sealed(Reader reader, Cursor cursor) {
+        try {
+            String text = reader.seal.sealed(cursor);
+            longestCursor = Math.max(longestCursor, text.length());
+            return text;
+        } catch (ExplainedException e) {
+            broken.add("no cursor: " + e.getMessage());
+            return null;
+        }
+    }
+
+    /** Null where it is told to be too old, as it is: then the chain is over. One that is ahead waits for the layout. */
+    private Cursor opened(Reader reader, String text, long digest) {
+        while (true) {
+            Lineage held = lineage(reader);
+            try {
+                return reader.seal.opened(text, digest, held);
+            } catch (ExplainedException e) {
+                if (e.error() instanceof PageError.Ahead ahead && ahead.layout() > held.version()) {
+                    reader.layout = layouts.size() - 1;
+                } else {
+                    if (!(e.error() instanceof PageError.TooOld old) || old.layout() >= held.oldest()) {
+                        broken.add("refused: " + e.getMessage());
+                    }
+                    return null;
+                }
+            }
+        }
+    }
+
+    private Page page(Reader reader, Lineage lineage, List<Standing> standings, int size) {
+        Assembly assembly = PlantedPages.of(order, size, standings, reader.shares, defect);
+        List<Ask> asks = assembly.first(lineage);
+        for (int round = 0; round <= FURTHER_ROUNDS && !asks.isEmpty(); round++) {
+            int bytes = chance.nextInt(6) == 0 ? 1 + chance.nextInt(5) : Integer.MAX_VALUE;
+            List<Partial> came = came(asks, bytes);
+            if (round == 0 && came.isEmpty()) {
+                // Nothing at all: the query would have been turned away, and asked again.
+                came = came(asks, bytes);
+            }
+            came.forEach(assembly::took);
+            asks = assembly.further();
+        }
+        Page page = assembly.end();
+        pagesMissing += page.missing().isEmpty() ? 0 : 1;
+        pagesShort += page.isShort() ? 1 : 0;
+        given += page.rows().size();
+        fetched += page.fetched();
+        if (page.rows().size() > size) {
+            broken.add("a page of " + page.rows().size() + " rows where " + size + " were asked for");
+        }
+        alike(page, standings, size);
+        return page;
+    }
+
+    /** Parts in the order in which they come: any. They are cut by the newest layout, as a router's are by then. */
+    private List<Partial> came(List<Ask> asks, int bytes) {
+        List<Fragment> fragments = new ArrayList<>();
+        Layout newest = layouts.get(layouts.size() - 1);
+        asks.forEach(ask -> fragments.addAll(Fragment.cut(newest, ask.keys())));
+        List<Partial> came = new ArrayList<>();
+        for (Fragment one : Fragment.joined(fragments)) {
+            calls++;
+            boolean troubled = pages < TROUBLED_PAGES;
+            if (troubled && chance.nextDouble() < missing) {
+                continue;
+            }
+            Partial partial = travelled(SortedRows.answer(order, asks, rows, one.keys(), bytes));
+            if (troubled && chance.nextDouble() < spoilt && partial.rows().size() > 1) {
+                List<Row> turned = new ArrayList<>(partial.rows());
+                Collections.swap(turned, 0, 1 + chance.nextInt(turned.size() - 1));
+                partial = new Partial(partial.keys(), turned, partial.next());
+            }
+            if (partial.problem(order, asks) == null || defect == PlantedPages.Defect.SPOILT_MERGED) {
+                came.add(partial);
+            }
+        }
+        Collections.shuffle(came, chance);
+        return came;
+    }
+
+    private Partial travelled(Partial partial) {
+        try {
+            return RowForm.partial(partial.keys(), RowForm.partial(partial));
+        } catch (IOException e) {
+            broken.add("rows that can't be read: " + e.getMessage());
+            return partial;
+        }
+    }
+
+    // ---- layouts
+
+    private void recut() {
+        for (int i = chance.nextInt(3); i > 0; i--) {
+            Layout layout = layouts.get(layouts.size() - 1);
+            Slice slice = layout.slices().get(chance.nextInt(layout.slices().size()));
+            Change change = switch (chance.nextInt(3)) {
+                case 0 -> new Change.Split(slice.number(), List.of(slice.keys().from() + 1
+                        + (long) (chance.nextDouble() * (slice.keys().size() - 1))));
+                case 1 -> new Change.Move(slice.number(), slice.nodes().get(0), NODES.get(chance.nextInt(NODES.size())));
+                default -> new Change.Merge(layout.slices().stream().map(Slice::number)
+                        .skip(chance.nextInt(layout.slices().size())).limit(2).toList());
+            };
+            List<Integer> births = new ArrayList<>();
+            for (int j = 0; j < change.births(); j++) {
+                births.add(nextSlice++);
+            }
+            try {
+                layouts.add(layout.after(change, births, layout.version + 1, Duration.ZERO, history));
+            } catch (IllegalArgumentException e) {
+                // Not every change is possible: then nothing has changed.
+            }
+        }
+    }
+
+    /** Hears of the newest layout, or is a little behind; never back. */
+    private Lineage heard(Reader reader) {
+        reader.layout = Math.max(reader.layout, layouts.size() - 1 - chance.nextInt(3));
+        return lineage(reader);
+    }
+
+    private Lineage lineage(Reader reader) {
+        return new LayoutLineage(layouts.get(reader.layout));
+    }
+
+    // ---- what must hold
+
+    /** Ascending, and before an earlier page's rows only what was told to be missing there. */
+    private void ordered(Page page, Mark furthest, Set<Long> excused) {
+        Mark last = null;
+        for (Row row : page.rows()) {
+            if (last != null && order.compare(last, row.at()) >= 0) {
+                broken.add("page " + pages + ": " + row + " does not follow " + last);
+            }
+            last = row.at();
+            if (furthest != null && order.compare(row.at(), furthest) < 0 && !excused.contains(row.at().sequence())) {
+                broken.add("page " + pages + ": " + row + " comes late, and its range was never missing");
+            }
+        }
+    }
+
+    /** Another router that is asked the same with nothing in its way gives the same rows, as far as this page goes. */
+    private void alike(Page page, List<Standing> standings, int size) {
+        if (!page.missing().isEmpty() || defect != null) {
+            return;
+        }
+        Assembly other = new Assembly(order, size, standings, new Shares());
+        Layout newest = layouts.get(layouts.size() - 1);
+        List<Ask> asks = other.first(new LayoutLineage(newest));
+        while (!asks.isEmpty()) {
+            List<Ask> now = asks;
+            List<Fragment> fragments = new ArrayList<>();
+            now.forEach(ask -> fragments.addAll(Fragment.cut(newest, ask.keys())));
+            Fragment.joined(fragments).forEach(one ->
+                    other.took(SortedRows.answer(order, now, rows, one.keys(), Integer.MAX_VALUE)));
+            asks = other.further();
+        }
+        List<Row> same = other.end().rows();
+        int length = page.rows().size();
+        if (length > same.size() || !written(page.rows()).equals(written(same.subList(0, length)))
+                || length < same.size() && !page.isShort()) {
+            broken.add("page " + pages + " differs from another router's");
+        }
+    }
+
+    private static String written(List<Row> rows) {
+        return new String(RowForm.partial(new Partial(KeyRange.ALL, rows, null)), StandardCharsets.UTF_8);
+    }
+
+    private void whole(List<Row> chain, boolean everMissing) {
+        List<Row> expected = rows.stream().filter(row -> asked.stream().anyMatch(one -> one.keys().from() <= row.at().key()
+                && row.at().key() < one.keys().to())).sorted((one, other) -> order.compare(one.at(), other.at())).toList();
+        Map<Row, Integer> times = new LinkedHashMap<>();
+        chain.forEach(row -> times.merge(row, 1, Integer::sum));
+        times.forEach((row, count) -> {
+            if (count > 1) {
+                broken.add(row + " was given " + count + " times");
+            }
+        });
+        expected.stream().filter(row -> !times.containsKey(row)).forEach(row -> broken.add(row + " was never given"));
+        if (!everMissing && broken.isEmpty() && !written(chain).equals(written(expected))) {
+            broken.add("nothing was missing, and the chain is not the plain sort");
+        }
+    }
+
+    // ---- figures
+
+    int rows() {
+        return rows.size();
+    }
+
+    int pages() {
+        return pages;
+    }
+
+    int pagesMissing() {
+        return pagesMissing;
+    }
+
+    int pagesShort() {
+        return pagesShort;
+    }
+
+    int given() {
+        return given;
+    }
+
+    int fetched() {
+        return fetched;
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    int layouts() {
+        return layouts.size();
+    }
+
+    int longestCursor() {
+        return longestCursor;
+    }
+}
