--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -13,7 +13,6 @@
  */
 public final class Decide {
     // ---- constants: unit, and why this size
-
     /** Parts: the window at the start, as the design page has it, and the least it falls to. */
     private static final int WINDOW_START = 32;
     private static final int WINDOW_LEAST = 4;
@@ -133,7 +132,6 @@
     }
 
     // ---- what can happen
-
     public void nodeListed(Duration now, DataNode node, Readiness readiness, Duration startedAt) {
         boolean fresh = node.workSent == null;
         if (fresh) {
@@ -168,9 +166,25 @@
     public void queryArrived(Duration now, Query q) {
         open.add(q);
         further.taken().add(now, 1);
+        dateBack(q.vertical, q, q.deadline.minus(now));
         q.overShare = held.beyondShare(now, q.customer);
     }
 
+    /**
+     * Guards against work for repeats whose SLO time, which runs from the first try, is over or nearly so:
+     * one that may wait less than a first try has what is left of its client's whole time. It could hurt
+     * where clients give their repeats less time for reasons of their own.
+     */
+    private static void dateBack(Vertical v, Query q, Duration wait) {
+        if (!q.repeat) {
+            v.firstWait = v.firstWait == null || wait.compareTo(v.firstWait) < 0 ? wait
+                    : v.firstWait.plus(times(wait.minus(v.firstWait), SMOOTHING));
+        } else if (v.allWait != null && v.firstWait != null
+                && wait.plus(LAST_WORD).compareTo(v.firstWait) < 0) {
+            q.askedAt = q.deadline.minus(v.allWait);
+        }
+    }
+
     public void partArrived(Duration now, Part part) {
         further.taken().add(now, 1);
     }
@@ -240,22 +254,32 @@
     }
 
     // ---- when to answer, and when to give up
-
     private void settle(Duration now, Query q) {
         double in = q.mergedWeight();
         double possible = q.weightOf(part -> part.merged || !part.out.isEmpty() || mayStillSend(now, part));
         Duration left = q.deadline.minus(now);
-        if (in + ROUNDING >= q.vertical.need) {
-            end(q);
-            host.answer(q, true);
+        boolean coming = q.parts.isEmpty(); // a second step's parts come a turn after the first is answered
+        if (!coming && in + ROUNDING >= q.vertical.need) {
+            answerWhole(q);
         } else if (left.compareTo(LAST_WORD) <= 0 || q.poisoned || partialIsBest(now, q, in)
-                || possible + ROUNDING < q.vertical.need
+                || !coming && possible + ROUNDING < q.vertical.need
                 && (in + ROUNDING >= possible || possible + ROUNDING < q.vertical.floor)
                 || lateForGood(now, q) || q.untouched() && noLongerBegun(now, q)) {
             giveUp(now, q);
         }
     }
 
+    /** The answer to all that was asked so far: the final one, or what brings the second step's parts. */
+    private void answerWhole(Query q) {
+        if (q.vertical.second == null) {
+            end(q);
+        } else {
+            q.parts.forEach(this::cancelAll);
+            q.secondStep();
+        }
+        host.answer(q, true);
+    }
+
     /** What is only late may still come: throwing it away would feed an overload. */
     private boolean lateForGood(Duration now, Query q) {
         return tooLate(now, q, 1) && (q.vertical.lateUtility == 0 || crowded && (q.alpha() > q.out()
@@ -271,13 +295,15 @@
     /** The SLO time is about to pass, and what is in is worth more now than a whole answer after it. */
     private static boolean partialIsBest(Duration now, Query q, double in) {
         Vertical v = q.vertical;
-        return v.floor < v.need && in + ROUNDING >= v.floor && v.shortUtility * in / v.need > v.lateUtility
+        return v.second == null && v.floor < v.need && in + ROUNDING >= v.floor
+                && v.shortUtility * in / v.need > v.lateUtility
                 && now.plus(LAST_WORD).compareTo(q.sloAt()) >= 0;
     }
 
     /** Its SLO time is over, or so many usual times for what is unsent last past its end. */
     private boolean tooLate(Duration now, Query q, double rounds) {
         Duration done = q.alpha() > q.out() ? now.plus(usualTime(now, q.vertical, rounds)) : now;
+        done = q.vertical.second == null ? done : done.plus(usualTime(now, q.vertical.second, 1));
         return done.compareTo(q.sloAt()) >= 0;
     }
 
@@ -286,8 +312,11 @@
      * While nothing else is out it is tried: what was learnt may be out of date.
      */
     private boolean hopeless(Duration now, Query q) {
-        double slowest = q.vertical.anyN() || q.parts.size() == 1 ? 1 : SLOWEST_TIMES;
+        double slowest = q.vertical.anyN() || q.parts.size() == 1 ? 1
+                : Math.max(SLOWEST_TIMES, q.vertical.floor * q.parts.size() / window);
         Duration left = min(q.sloAt(), q.deadline.minus(LAST_WORD)).minus(now);
+        Vertical second = q.vertical.second;
+        left = second == null ? left : left.minus(usualTime(now, second, slowest));
         return inFlight > 0 && q.vertical.quietTime != null
                 && left.compareTo(usualTime(now, q.vertical, slowest)) < 0;
     }
@@ -312,10 +341,10 @@
     /** The final answer at once: from what is in where the floor allows it, else rejected where harmless. */
     private void giveUp(Duration now, Query q) {
         double in = q.mergedWeight();
-        boolean harmless = q.vertical.effect == Effect.REPEATABLE
-                || q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
+        boolean harmless = q.vertical.effect == Effect.REPEATABLE || q.firstStep.isEmpty()
+                && q.count(part -> part.mayHaveRunSince != null || !part.out.isEmpty()) == 0;
         end(q);
-        if (in > 0 && in + ROUNDING >= q.vertical.floor) {
+        if (in > 0 && in + ROUNDING >= q.vertical.floor && q.vertical.second == null) {
             host.answer(q, false);
         } else if (harmless) {
             host.reject(q, held.comeBack(crowded));
@@ -341,7 +370,6 @@
     }
 
     // ---- which query gets a free slot: SEDPT-R
-
     /** Parts in flight that can be counted on: an overdue part counts no more. */
     private int delta(Duration now, Query q) {
         return q.count(part -> counted(now, part));
@@ -399,16 +427,19 @@
         chooseOffset(now, q);
         Part bestPart = null;
         DataNode bestNode = null;
-        int bestRank = Integer.MAX_VALUE;
+        double bestRank = Double.MAX_VALUE;
         for (Part part : q.parts) {
-            if (part.merged || counted(now, part) || !maySendNow(now, part)) {
+            DataNode node = part.merged || counted(now, part) || !maySendNow(now, part) ? null
+                    : chooseNode(now, part);
+            if (node == null) {
                 continue;
             }
-            DataNode node = chooseNode(now, part);
-            // First parts before copies; where any n will do, those whose nodes have least to do.
-            int rank = (part.out.isEmpty() ? 0 : 1000) + (node == null || !anyN ? 0
-                    : node.callsOut() + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0));
-            if (node != null && rank < bestRank) {
+            // First parts before copies. Where any n will do, those whose nodes have least to do; where less
+            // than all will do, the quickest: what a few popular shards jam is left for the end.
+            double rank = (part.out.isEmpty() ? 0 : 1000) + (anyN ? node.callsOut()
+                    + (suspect(now, node, q.vertical) ? SUSPECT_CALLS : 0)
+                    : q.vertical.floor < 1 ? (1 + node.out.size()) * beside(now, node) : 0);
+            if (rank < bestRank) {
                 bestPart = part;
                 bestNode = node;
                 bestRank = rank;
@@ -479,7 +510,6 @@
     }
 
     // ---- which replica
-
     /** The offset whose nodes have fewest of our parts out; then the one that crosses zones least. */
     private void chooseOffset(Duration now, Query q) {
         if (q.offset >= 0) {
@@ -521,10 +551,9 @@
         double bestRank = Double.MAX_VALUE;
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
-            Duration work = cold.work(part, quiet(part.query.vertical));
-            if (node.readiness != Readiness.READY
-                    || !cold.allows(now, node, fleet.tookAt(part.shard, node), work,
-                            share(now, part, node))) {
+            Duration work = cold.work(part, quiet(part.vertical));
+            if (node.readiness != Readiness.READY || !cold.allows(now, node, fleet.tookAt(part.shard, node),
+                    work, share(now, part, node))) {
                 continue;
             }
             // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
@@ -565,7 +594,6 @@
     }
 
     // ---- health of nodes, from our own leaf calls alone
-
     /**
      * Guards against a node that is silent, slow, failing or unreachable, whatever the cause: our own calls
      * show it. It also catches a node the list names ready that is dead, and a zone cut off. It could hurt
@@ -581,7 +609,7 @@
 
     private void learn(Duration now, LeafCall call, Outcome outcome, Duration took) {
         DataNode node = call.node;
-        Vertical v = call.part.query.vertical;
+        Vertical v = call.part.vertical;
         if (outcome == Outcome.MERGED) {
             // The first answer may be a slow one, and of a rare vertical the next comes late: what the nodes
             // are like to the others is taken off it.
@@ -703,14 +731,14 @@
 
     /** Overdue, and its node has answered nothing for as long; at once where the node is left alone. */
     private boolean silent(Duration now, LeafCall call) {
-        Duration since = now.minus(overdueAfter(now, call.part.query.vertical));
+        Duration since = now.minus(overdueAfter(now, call.part.vertical));
         return call.node.avoidUntil != null
                 || since.compareTo(call.sentAt) > 0 && !call.node.answeredSince(since);
     }
 
     /** Silent, or overdue and overtaken by a call sent later. One that only waits its turn is not lost. */
     private boolean lost(Duration now, LeafCall call) {
-        Duration since = now.minus(overdueAfter(now, call.part.query.vertical));
+        Duration since = now.minus(overdueAfter(now, call.part.vertical));
         return silent(now, call) || since.compareTo(call.sentAt) > 0
                 && call.node.answeredSentAt.compareTo(call.sentAt) > 0;
     }
@@ -720,7 +748,6 @@
     }
 
     // ---- which further leaf calls are allowed
-
     /** Whether the part may get a leaf call now or later, as far as its past tells. */
     private boolean mayStillSend(Duration now, Part part) {
         if (part.closed || part.calls.size() >= calls.most) {
@@ -753,6 +780,10 @@
         return span.toNanos() / 1e9;
     }
 
+    private static TimeRing ringOf(Duration span) {
+        return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+    }
+
     /** What may be done with leaf calls; what is not stated is not permitted. */
     public record Calls(int most, boolean mayDuplicate, boolean mayCancel, boolean mayProbe, boolean shared) {
         public Calls(Integer most, Boolean mayDuplicate, Boolean mayCancel, Boolean mayProbe,
@@ -765,9 +796,7 @@
     /** The ration of leaf calls beyond each part's first, where one is stated: counted so as to err low. */
     public record FurtherCalls(Double free, Double share, Duration span, TimeRing taken, TimeRing sent) {
         public FurtherCalls(Double free, Double share, Duration span) {
-            this(free == null ? 0 : free, share == null ? 0 : share, span,
-                    new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS),
-                    new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS));
+            this(free == null ? 0 : free, share == null ? 0 : share, span, ringOf(span), ringOf(span));
         }
 
         boolean allowed(Duration now) {
@@ -789,7 +818,7 @@
         }
 
         TimeRing ring() {
-            return new TimeRing(span == null ? HEALTH_MEMORY : span, BUCKETS);
+            return ringOf(span);
         }
 
         Duration work(Part part, Duration quiet) {
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -488,4 +488,75 @@
         alone.begun(repeatable, 4);
         assertEquals(4, alone.sent.stream().map(call -> call.node).distinct().count());
     }
+
+    @Test
+    void theSecondStepNeedsAllItsPartsAndOneThatIsGivenUpIsRejectedOnlyWhereNothingMayHaveRun() {
+        for (Effect effect : List.of(Effect.REPEATABLE, Effect.SIDE_EFFECTING)) {
+            Given two = new Given(3, true);
+            Query q = two.begun(Given.vertical(effect, 0.5).followedBy(Given.vertical(effect, 1)), 4);
+            for (int i = 0; i < 2; i++) {
+                ends(two, ms(50), two.sent.get(i), Outcome.MERGED);
+            }
+            two.decide.turnEnded(ms(50));
+            assertEquals(List.of("whole"), two.ended, "any two of four will do in the first");
+            assertFalse(q.ended);
+            two.decide.turnEnded(ms(70));
+            int before = two.sent.size();
+            for (int i = 0; i < 2; i++) {
+                two.decide.partArrived(ms(70), new Part(q, i, 0.5, null));
+            }
+            two.decide.turnEnded(ms(70));
+            assertEquals(2, two.sent.size() - before);
+            ends(two, ms(90), two.sent.get(before), Outcome.MERGED);
+            two.decide.turnEnded(ms(90));
+            assertEquals(1, two.ended.size(), "half of the second is not enough");
+            two.decide.turnEnded(Given.DEADLINE.minus(ms(30)));
+            assertEquals(effect == Effect.REPEATABLE ? "rejected" : "aborted", two.ended.get(1));
+        }
+    }
+
+    @Test
+    void theSloTimeOfARepeatRunsFromItsFirstTryWhereItHasTheRestOfItsClientsTime() {
+        repeatable.allWait = Given.DEADLINE;
+        Query first = given.begun(repeatable, 1);
+        assertEquals(Given.SLO, first.sloAt());
+        ends(given, ms(10), given.sent.get(0), Outcome.MERGED);
+        Query short3 = repeat(ms(100), ms(3000));
+        assertEquals(ms(3100).minus(Given.DEADLINE).plus(Given.SLO), short3.sloAt(), "it has been 3 s since the first");
+        Query full = repeat(ms(100), Given.DEADLINE);
+        assertEquals(ms(100).plus(Given.SLO), full.sloAt(), "how long ago it first came is not told");
+    }
+
+    private Query repeat(Duration now, Duration wait) {
+        Query q = new Query(repeatable, null, now, now.plus(wait));
+        q.repeat = true;
+        given.decide.queryArrived(now, q);
+        return q;
+    }
+
+    @Test
+    void aQueryThatMayDoWithLessThanAllBeginsWithItsQuickestNodes() {
+        Given cells = new Given(6, true, 1, 6);
+        Vertical floored = new Vertical(Given.SLO, Effect.REPEATABLE, null, 1, 0, 1, 0.5, 0.8);
+        floored.quietTime = ms(100);
+        cells.begun(floored, 6);
+        for (int i = 0; i < 6; i++) {
+            ends(cells, ms(i < 3 ? 900 : 100), cells.sent.get(i), Outcome.MERGED);
+        }
+        cells.query(ms(900), floored, 6);
+        cells.decide.turnEnded(ms(900));
+        assertEquals(cells.nodes.subList(3, 6), cells.sent.subList(6, 9).stream().map(call -> call.node).toList());
+    }
+
+    @Test
+    void aLargeQueryThatTheWindowWouldTakeInTooManyRoundsIsNotBegun() {
+        repeatable.quietTime = ms(100);
+        given.begun(repeatable, 1);
+        Query large = given.query(ms(0), repeatable, 1000);
+        given.decide.turnEnded(ms(0));
+        assertTrue(large.ended, "some thirty rounds of 100 ms are more than 2 s");
+        Query fair = given.query(ms(0), repeatable, 100);
+        given.decide.turnEnded(ms(0));
+        assertFalse(fair.ended);
+    }
 }
