The second look of a closing door is two delays away: a late thread reads between them

Seen: on a machine with thirty things to run, ClientDoorTest failed once: the delay was over before the thread had read, so both looks came in one round. The first delay may be due at once; a second one begins only then, after a round of reads.

--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -479,7 +479,9 @@
         }
         closed = !again;
         if (again) {
-            io.executeAfter(this::closeUnused, SWEEP.toMillis(), TimeUnit.MILLISECONDS);
+            // In two steps: where the thread is so late that the first is due at once, it has read by the second.
+            io.executeAfter(() -> io.executeAfter(this::closeUnused, SWEEP.toMillis() / 2, TimeUnit.MILLISECONDS),
+                    SWEEP.toMillis() / 2, TimeUnit.MILLISECONDS);
         }
     }
 
