A keeper elected for a term leases a cold node's budget as rates; the note on routers together

Leases were to come from a store that operators would have to keep. Now one of the routers grants them, for each stripe of the data nodes: elected by a majority of all configured routers, in office by its own clock, and granting nothing until all that predecessors can have granted is past. A voter without memory waits out the longest office.

The shape of leases changed, for reasons told in docs/shared-store.md: a lease is a rate for a time (an amount left half of the budget idle), used once granted (the successor waits instead of each router), and what is checked and not yet sent is held down to a share of the budget that is never leased, so that the bound holds for a process that was stopped there.

docs/together.md has the ways weighed, the inequalities and their argument.

--- a/src/main/java/postbeam/shared/LeaseTerms.java
+++ b/src/main/java/postbeam/shared/LeaseTerms.java
@@ -1,46 +1,84 @@
 package postbeam.shared;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
 
 /**
- * What all routers and the store must agree on for leases of a cold node's budget.
+ * What all routers must agree on for leases of a cold node's budget; the letters are those of docs/together.md.
  *
- * @param use how long a router may use a lease, from when it asked for it
- * @param window in which the rule counts what a cold node is sent
- * @param drift what two clocks may differ by over a lease's time
- * @param reserved share of each budget that is never leased: a router that sees no store has its even part of it
- * @param routers how many there are; more would break the bound, fewer waste some
+ * @param use u: how long a router may use a lease, from when it asked for it
+ * @param window w: in which the rule counts what a cold node is sent
+ * @param drift d: what two clocks may differ by over the longest span here
+ * @param reserved s: share of each budget that is never leased; a router that hears nothing has its part of it
+ * @param underWay k: share of each budget for what is checked and not yet out, as when a process is stopped there
+ * @param shares what the reserve is divided by: all routers that are, and that may be before all know of new terms
+ * @param callMost the largest leaf call's work, in the budget's unit
  */
-public record LeaseTerms(Duration use, Duration window, Duration drift, double reserved, int routers) {
+public record LeaseTerms(Duration use, Duration window, Duration drift, double reserved, double underWay, int shares,
+        double callMost) {
     public LeaseTerms {
-        if (reserved <= 0 || reserved >= 1 || routers < 1 || use.isNegative() || use.isZero() || window.isNegative()
-                || drift.isNegative()) {
-            throw new IllegalArgumentException("terms of leases can't be used: reserved " + reserved + ", routers "
-                    + routers + ", use " + use + ", window " + window + ", drift " + drift);
+        if (reserved <= 0 || underWay <= 0 || reserved + underWay >= 1 || shares < 1 || callMost < 0 || use.isNegative()
+                || use.isZero() || window.isNegative() || drift.isNegative()) {
+            throw new IllegalArgumentException("terms of leases can't be used: reserved " + reserved + ", under way "
+                    + underWay + ", shares " + shares + ", largest call " + callMost + ", use " + use + ", window "
+                    + window + ", drift " + drift);
         }
     }
 
     /**
-     * How long the store counts a lease, from when it granted it. What is used at the last moment counts in windows
-     * that reach so much further, and the grant came after the question: so no window holds a use of a lease that
-     * the store has given to somebody else in the same window.
+     * How long the keeper counts a lease, from when it granted it. What is used at the last moment counts in windows
+     * that reach so much further, and the grant came after the question. A keeper new in office grants nothing for as
+     * long: by then all is past that others can have granted.
      */
     public Duration counted() {
         return use.plus(window).plus(drift);
     }
 
-    /** How long a router asks for nothing once it has (again) reached a store that may not know what it granted. */
-    public Duration quarantine() {
-        return counted().plus(drift);
+    /** Of a budget, what the keeper may lease out. */
+    public double leasable(double budget) {
+        return budget * (1 - reserved - underWay);
     }
 
-    /** Of a budget, what the store may lease out. */
-    public double leasable(double budget) {
-        return budget * (1 - reserved);
+    /** Of a budget, what each of so many may use whatever it hears. */
+    public double own(double budget, int sharers) {
+        return budget * reserved / sharers;
+    }
+
+    /** Of a budget, what each of so many may have checked and not yet sent. */
+    public double underWay(double budget, int sharers) {
+        return budget * underWay / sharers;
     }
 
-    /** Of a budget, what each router may use whatever it knows of the store. */
-    public double own(double budget) {
-        return budget * reserved / routers;
+    /**
+     * What the parts of a node are divided by whose budget begins with this: a part that holds no leaf call helps
+     * nobody, so where there is too little for all, fewer share it.
+     */
+    public int sharers(double firstBudget) {
+        return callMost <= 0 ? shares
+                : (int) Math.min(shares, Math.max(2, Math.floor(firstBudget * underWay / callMost + 1e-9)));
+    }
+
+    /**
+     * Whether this router is one of those that share the node: the same lot for all who know the same names. One fewer
+     * than the parts are drawn, so that two lists that differ in one name together draw no more than there are parts.
+     */
+    public boolean drawn(NodeKey node, String router, List<String> routers, int sharers) {
+        return sharers >= routers.size() && sharers >= shares
+                || routers.stream().sorted(Comparator.<String>comparingLong(name -> lot(node, name))
+                        .thenComparing(name -> name)).limit(sharers - 1).anyMatch(router::equals);
+    }
+
+    private static long lot(NodeKey node, String router) {
+        try {
+            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest((node.node() + "\n"
+                    + node.incarnation() + "\n" + router).getBytes(StandardCharsets.UTF_8))).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new AssertionError("every Java has SHA-256", e);
+        }
     }
 }
--- a/src/main/java/postbeam/shared/NodeLeases.java
+++ b/src/main/java/postbeam/shared/NodeLeases.java
@@ -1,155 +1,129 @@
 package postbeam.shared;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
+import postbeam.state.TimeRing;
 
 /**
- * What one router may send one cold node: its own part of the reserve, and the leases that it holds. A lease is used
- * only once it was granted and then, by a second question, seen to stand; and never past its end, which counts from
- * when it was asked for. An answer that is late, lost or not understood is no grant: at the store it may count as one.
+ * What one router may send one cold node: its own part of the reserve, and the largest lease that it holds, never past
+ * that lease's end, which counts from when it was asked for. A check takes what it allows; what is checked and not yet
+ * told to be out is under way, and held down: a process that is stopped there sends it whenever it wakes.
  */
-public final class NodeLeases {
-    /** A lease on its way to use, or in it. */
-    public static final class Lease {
-        public final long number;
+public class NodeLeases {
+    /** A lease asked for or held. */
+    private static final class Lease {
+        final long number;
+        final Duration askedAt;
         /** Never used from here on. */
-        public final Duration end;
-        private double left;
-        private boolean granted;
-        private boolean confirmed;
+        final Duration end;
+        double amount;
 
-        private Lease(long number, Duration end) {
+        Lease(long number, Duration askedAt, Duration end) {
             this.number = number;
+            this.askedAt = askedAt;
             this.end = end;
         }
     }
 
-    /** What was used of the reserve, and when. */
-    private record Used(Duration at, double amount) { }
-
-    /** Leases asked for or held at once: one in use, one on its way. */
-    private static final int LEASES_MOST = 2;
+    /** Leases asked for or held at once: asked again each third of a lease. */
+    private static final int LEASES_MOST = 4;
+    /** Buckets of a window; what shares a bucket with the window's start counts. */
+    private static final int BUCKETS = 32;
+    /** Times what was wanted in the last window that is asked for: room to grow, as any ask is some time on its way. */
+    private static final double AHEAD = 1.5;
 
     private final LeaseTerms terms;
+    private final int sharers;
+    private final boolean drawn;
     private final List<Lease> leases = new ArrayList<>();
-    private final Deque<Used> reserve = new ArrayDeque<>();
-    private long number;
-    /** Null while no store is reached. */
-    private Duration quietUntil;
+    private final TimeRing checked;
+    private final TimeRing wanted;
+    private double underWay;
 
-    public NodeLeases(LeaseTerms terms) {
+    /** For a node whose parts are so many, and whether this router has one. */
+    public NodeLeases(LeaseTerms terms, int sharers, boolean drawn) {
         this.terms = terms;
+        this.sharers = sharers;
+        this.drawn = drawn;
+        this.checked = new TimeRing(terms.window(), BUCKETS);
+        this.wanted = new TimeRing(terms.window(), BUCKETS);
     }
 
-    // ---- the store
-
-    /**
-     * A store is reached, perhaps another than before. Guards against one that failed over to an older state, or was
-     * away and forgot: it may grant again what others still hold, so nothing is asked for until all leases that it
-     * can have forgotten are past. What this router holds it keeps: that is counted somewhere, or was.
-     */
-    public void reached(Duration now) {
-        quietUntil = now.plus(terms.quarantine());
-    }
+    // ---- leases
 
-    public void lost() {
-        quietUntil = null;
-        // Whether these were granted nobody will tell: the store may count them.
-        leases.removeIf(lease -> !lease.confirmed);
-    }
-
-    /** The number of a lease to ask for now; 0 where none is to be asked for. */
-    public long ask(Duration now) {
+    /** How much to ask the keeper for now, under this number; zero where nothing is to be asked for. */
+    public double ask(Duration now, double budget, long number) {
         forget(now);
-        if (quietUntil == null || !quiet(now) || leases.size() >= LEASES_MOST) {
+        Duration third = terms.use().dividedBy(3);
+        boolean recent = leases.stream().anyMatch(lease -> now.minus(lease.askedAt).compareTo(third) < 0);
+        double want = Math.min(AHEAD * wanted.atLeast(now, terms.window()) - terms.own(budget, sharers),
+                terms.leasable(budget));
+        if (!drawn || recent || leases.size() >= LEASES_MOST || want <= 0) {
             return 0;
         }
-        leases.add(new Lease(++number, now.plus(terms.use())));
-        return number;
+        leases.add(new Lease(number, now, now.plus(terms.use())));
+        return want;
     }
 
-    private boolean quiet(Duration now) {
-        return now.compareTo(quietUntil) >= 0;
+    public void granted(Duration now, long ofNumber, double amount) {
+        forget(now);
+        leases.stream().filter(lease -> lease.number == ofNumber).forEach(lease -> lease.amount = amount);
     }
 
-    /** The store's answer to the first question; true where it is to be asked a second time. */
-    public boolean granted(Duration now, long number, double amount) {
-        Lease lease = lease(now, number);
-        if (lease == null || amount <= 0) {
-            leases.remove(lease);
-            return false;
-        }
-        lease.granted = true;
-        lease.left = amount;
-        return true;
+    private void forget(Duration now) {
+        leases.removeIf(lease -> over(now, lease.end));
     }
 
-    /** Its answer to the second: whether the lease stands. */
-    public void stands(Duration now, long number, boolean stands) {
-        Lease lease = lease(now, number);
-        if (lease != null && lease.granted && stands) {
-            lease.confirmed = true;
-        } else {
-            leases.remove(lease);
-        }
+    /** Past its end it is not used, whatever the keeper thinks of it. */
+    protected boolean over(Duration now, Duration end) {
+        return now.compareTo(end) >= 0;
     }
 
-    private Lease lease(Duration now, long number) {
+    /** The rate of the largest lease held. */
+    public double leased(Duration now) {
         forget(now);
-        return leases.stream().filter(one -> one.number == number).findFirst().orElse(null);
-    }
-
-    private void forget(Duration now) {
-        leases.removeIf(lease -> over(lease, now));
-        while (!reserve.isEmpty() && now.minus(reserve.peek().at()).compareTo(terms.window()) > 0) {
-            reserve.poll();
-        }
-    }
-
-    /** Past its end it is not used, whatever the store thinks of it. */
-    private boolean over(Lease lease, Duration now) {
-        return now.compareTo(lease.end) >= 0;
+        return leases.stream().mapToDouble(lease -> lease.amount).max().orElse(0);
     }
 
     // ---- sends
 
-    /** Whether so much may be sent now, with this budget of the node for a window. */
-    public boolean allows(Duration now, double amount, double budget) {
-        forget(now);
-        return reserveLeft(budget) >= amount || leases.stream().anyMatch(lease -> lease.confirmed
-                && lease.left >= amount);
+    /** What may still be checked now, with this budget of the node for a window that ends now. */
+    public double room(Duration now, double budget) {
+        if (!drawn) {
+            return 0;
+        }
+        double inWindow = terms.own(budget, sharers) + leased(now) - checked.atLeast(now, terms.window());
+        return Math.max(0, Math.min(inWindow, terms.underWay(budget, sharers) - underWay));
     }
 
-    /** It was sent: leases go first, the one that ends soonest before others; the reserve is kept for worse times. */
-    public void sent(Duration now, double amount, double budget) {
-        Lease from = null;
-        for (Lease lease : leases) {
-            if (lease.confirmed && lease.left >= amount && (from == null || lease.end.compareTo(from.end) < 0)) {
-                from = lease;
-            }
-        }
-        if (from != null) {
-            from.left -= amount;
-        } else {
-            reserve.add(new Used(now, amount));
+    /** Takes so much and is true, if there is room for it; from then on it is under way until {@link #out}. */
+    public boolean take(Duration now, double amount, double budget) {
+        wanted.add(now, amount);
+        if (room(now, budget) < amount) {
+            return false;
         }
+        checked.add(now, amount);
+        underWay += amount;
+        return true;
     }
 
-    private double reserveLeft(double budget) {
-        double used = 0;
-        for (Iterator<Used> all = reserve.iterator(); all.hasNext();) {
-            used += all.next().amount();
-        }
-        return terms.own(budget) - used;
+    /** So much is sent, or never will be. */
+    public void out(double amount) {
+        underWay = Math.max(0, underWay - amount);
     }
 
-    /** What may be sent of leases held. */
-    public double leased(Duration now) {
+    /** What is of no use any more: nothing under way, no lease, nothing in the window. */
+    public boolean idle(Duration now) {
         forget(now);
-        return leases.stream().filter(lease -> lease.confirmed).mapToDouble(lease -> lease.left).sum();
+        return underWay == 0 && leases.isEmpty() && wanted.atLeast(now, terms.window()) == 0;
+    }
+
+    String standing(Duration now) {
+        StringBuilder text = new StringBuilder().append(checked.atLeast(now, terms.window())).append(' ')
+                .append(underWay);
+        leases.stream().filter(lease -> !over(now, lease.end)).forEach(lease -> text.append(' ').append(lease.number)
+                .append('=').append(lease.amount).append('/').append(lease.end.minus(now)));
+        return text.toString();
     }
 }
--- a/src/main/java/postbeam/shared/package-info.java
+++ b/src/main/java/postbeam/shared/package-info.java
@@ -1,6 +1,6 @@
 /**
- * What routers may share through a store, and what each does when the store is slow, wrong or away. Decisions and state
- * alone: no I/O, no clock and no thread; a router's times are spans of its own monotonic clock, the store's are the
- * store's. docs/shared-store.md has the ways weighed and the proof. Not wired to a router yet.
+ * What routers share, and what each does when it hears nothing. Decisions and state alone: no I/O, no clock and no
+ * thread; times are spans of the router's own monotonic clock. {@link postbeam.shared.Stripes} is where threads enter.
+ * docs/together.md has the ways weighed and the argument for each bound.
  */
 package postbeam.shared;
