Pages on the wire: order, page and cursor in queries, rows in answers of data nodes

Where pages.enabled is set (beside layouts.follow) the client form takes order, page and cursor, leaf calls carry the ask behind the query's text, and answers have page and cursor. A further ask is a query of the same router whose parts inherit the leaf calls for their keys, so rule 6 and the part's limit count each as a further call; a reserve makes up for what it adds to what counts as taken. A spoilt order ends a leaf call as an error of the node before it is merged.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -14,10 +14,12 @@
 import java.util.Map;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
+import postbeam.errors.ExplainedException;
 import postbeam.router.Logs;
 import postbeam.layouts.LayoutsCommand;
 import postbeam.rig.TrialCommand;
 import postbeam.rig.TryOut;
+import postbeam.router.Paging;
 import postbeam.router.Router;
 import postbeam.setup.Info;
 import postbeam.setup.OwnSettings;
@@ -145,8 +147,27 @@
             return new Router(startup);
         }
         Info own = OwnSettings.read(Path.of(settings));
-        return Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))
-                ? new Router(startup, new Slicing(), own.needed("layouts.follow.service")) : new Router(startup);
+        boolean pages = Boolean.TRUE.equals(own.flag("pages.enabled"));
+        if (!Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))) {
+            if (pages) {
+                throw new IOException("pages.enabled needs layouts.follow.enabled");
+            }
+            return new Router(startup);
+        }
+        String service = own.needed("layouts.follow.service");
+        return pages ? Paged.router(startup, service, own) : new Router(startup, new Slicing(), service);
+    }
+
+    /** Apart, so that nothing of pages is loaded where they are off. */
+    private static final class Paged {
+        static Router router(Startup startup, String service, Info own) throws IOException {
+            try {
+                return new Router(startup, new Slicing(), service, new Paging(own.needed("pages.key"),
+                        own.text("pages.oldKey"), own.atLeast("pages.rows", 1)));
+            } catch (ExplainedException e) {
+                throw new IOException(e.getMessage(), e);
+            }
+        }
     }
 
     private static int serve(String config, String settings) throws InterruptedException {
--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -95,6 +95,8 @@
     private final XnioIoThread io;
     private final InetSocketAddress listen;
     private final HttpOpenListener http;
+    /** The most rows of a page; 0 where no pages are given. */
+    private int pageRows;
     private AcceptingChannel<StreamConnection> server;
     private final ExecutorService threads;
     /** On the I/O thread alone: all that are open, those that have waited longest first. */
@@ -125,6 +127,11 @@
         http.setRootHandler(this);
     }
 
+    /** Lets clients ask for pages of so many rows at most; to be called before it starts. */
+    public void pages(int rowsMost) {
+        pageRows = rowsMost;
+    }
+
     /** Starts to listen; an IOException tells why it can't. */
     public void start() throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
@@ -311,7 +318,8 @@
     private void take(HttpServerExchange exchange, byte[] body, String vertical, long begun) {
         Asked asked;
         try {
-            asked = QueryForm.read(exchange, body, vertical, owners, shards, usualWaits.get(vertical));
+            asked = QueryForm.read(exchange, body, vertical, owners, shards, usualWaits.get(vertical),
+                    pageRows);
         } catch (IOException e) {
             say(exchange, 400, e.getMessage().lines().findFirst().orElse(""));
             return;
@@ -420,6 +428,9 @@
                         String.valueOf(reject.comeBack().toMillis() / 1000.0));
             }
             say(exchange, 503, "rejected; asking again is harmless");
+        } else if (last instanceof Step.Refused refused) {
+            LOG.log(System.Logger.Level.WARNING, refused.why().line());
+            say(exchange, 503, refused.why().line());
         } else {
             say(exchange, 504, "aborted");
         }
--- a/src/main/java/postbeam/clients/QueryForm.java
+++ b/src/main/java/postbeam/clients/QueryForm.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import postbeam.pages.PageAsked;
 import postbeam.router.Asked;
 import postbeam.router.Step;
 import postbeam.setup.Json;
@@ -36,7 +37,7 @@
 
     /** An IOException says what can't be used. */
     static Asked read(HttpServerExchange exchange, byte[] body, String vertical, Set<String> owners, int shards,
-            Duration usualWait) throws IOException {
+            Duration usualWait, int pageRows) throws IOException {
         String id = header(exchange, ID);
         if (id == null || id.length() > LONGEST_ID || !id.chars().allMatch(c -> c > ' ' && c < 127 && c != '.')) {
             throw new IOException("Req-Id is missing or can't be used");
@@ -46,6 +47,14 @@
             throw new IOException("Req-Owner is missing or unknown");
         }
         Map<String, Object> query = Json.object(body);
+        PageAsked page = pageRows > 0 && query.containsKey("page") ? PageQueryForm.read(query, pageRows) : null;
+        List<Asked.AskedPart> parts = page != null && page.cursor() != null ? List.of() : parts(query, shards);
+        byte[] text = Json.member(query, "predicate", String.class).getBytes(StandardCharsets.UTF_8);
+        return new Asked(id, vertical, owner, wait(header(exchange, DEADLINE), usualWait), parts, text,
+                layout(header(exchange, LAYOUT)), "1".equals(exchange.getRequestHeaders().getFirst(REPEAT)), page);
+    }
+
+    private static List<Asked.AskedPart> parts(Map<String, Object> query, int shards) throws IOException {
         Set<Integer> seen = new HashSet<>();
         List<Asked.AskedPart> parts = new ArrayList<>();
         for (Object range : Json.member(query, "ranges", List.class)) {
@@ -64,9 +73,7 @@
         if (Math.abs(sum - 1) > ROUNDING) {
             throw new IOException("the portions of ranges add up to " + sum + ", not 1");
         }
-        byte[] text = Json.member(query, "predicate", String.class).getBytes(StandardCharsets.UTF_8);
-        return new Asked(id, vertical, owner, wait(header(exchange, DEADLINE), usualWait), parts, text,
-                layout(header(exchange, LAYOUT)), "1".equals(exchange.getRequestHeaders().getFirst(REPEAT)));
+        return parts;
     }
 
     /** The version by which slices are named; 0 where none is told. */
@@ -132,11 +139,16 @@
                 if (value.cover() != null) {
                     write(json, value.cover());
                 }
-                json.writeFieldName("blob");
-                json.writeUTF8String(value.text(), 0, value.text().length);
+                if (value.text() != null) {
+                    json.writeFieldName("blob");
+                    json.writeUTF8String(value.text(), 0, value.text().length);
+                }
                 json.writeEndObject();
             }
             json.writeEndArray();
+            if (answer.page() != null) {
+                PageQueryForm.write(json, answer.page());
+            }
             json.writeEndObject();
         }
         return bytes.toByteArray();
--- a/src/main/java/postbeam/pages/RowForm.java
+++ b/src/main/java/postbeam/pages/RowForm.java
@@ -1,6 +1,7 @@
 package postbeam.pages;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.math.BigInteger;
@@ -198,6 +199,8 @@
     private static byte[] written(Writing writing) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (JsonGenerator json = Json.FACTORY.createGenerator(bytes)) {
+            // Nodes that count characters where bytes are meant read it alike.
+            json.enable(JsonWriteFeature.ESCAPE_NON_ASCII.mappedFeature());
             writing.to(json);
         } catch (IOException e) {
             throw new java.io.UncheckedIOException("writing to memory", e);
--- a/src/main/java/postbeam/rig/SortedRows.java
+++ b/src/main/java/postbeam/rig/SortedRows.java
@@ -1,6 +1,7 @@
 package postbeam.rig;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import postbeam.pages.Ask;
 import postbeam.pages.Mark;
@@ -35,6 +36,13 @@
         return new Partial(keys, found.subList(0, give), give < found.size() ? found.get(give).at() : null);
     }
 
+    /** With the first two in each other's place. */
+    static List<Row> turned(List<Row> rows) {
+        List<Row> turned = new ArrayList<>(rows);
+        Collections.swap(turned, 0, 1);
+        return turned;
+    }
+
     private static boolean after(Order order, Mark mark, Row row) {
         return mark == null || order.compare(row.at(), mark) > 0;
     }
--- a/src/main/java/postbeam/rig/StandInNode.java
+++ b/src/main/java/postbeam/rig/StandInNode.java
@@ -23,6 +23,9 @@
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.xnio.IoUtils;
+import postbeam.pages.Partial;
+import postbeam.pages.Row;
+import postbeam.pages.RowForm;
 import postbeam.slices.KeyRange;
 import postbeam.slices.Order;
 
@@ -34,6 +37,8 @@
     private static final int CORES = 2;
     private static final int QUEUE = 64;
     private static final int LONGEST = 1 << 20;
+    /** Bytes of an answer's value: what a router takes. */
+    private static final int ANSWER_MOST = 60_000;
     /** Work of a part with nothing else to do, and up to so much more by chance. */
     static final Duration WORK = Duration.ofMillis(2);
     private static final Duration WORK_MORE = Duration.ofMillis(3);
@@ -42,7 +47,7 @@
     /** What a stand-in tells what it sees. */
     record Seen(Referee referee, Supplier<Duration> now, Map<String, Map<KeyRange, Boolean>> runs) { }
 
-    private record Work(Socket socket, String query, String part, KeyRange keys, HeldSlices.Held held) { }
+    private record Work(Socket socket, String query, String part, KeyRange keys, HeldSlices.Held held, byte[] ask) { }
 
     final String name;
     final String zone;
@@ -63,6 +68,8 @@
     /** Share of parts that run and are answered with an error, and of answers that come late. */
     private volatile double badAnswers;
     private volatile double lateAnswers;
+    private volatile List<Row> rows = List.of();
+    private volatile boolean spoilsOrder;
     /** Whether it wants no slices held by number: it takes every call, as for a router without a layout. */
     private final boolean unsliced;
 
@@ -142,8 +149,10 @@
         while (!rest.isEmpty()) {
             int end = rest.indexOf('\n');
             String[] words = rest.substring(0, end).split(" ");
-            rest = rest.substring(end + 1 + Integer.parseInt(words[3]));
+            String text = rest.substring(end + 1, end + 1 + Integer.parseInt(words[3]));
+            rest = rest.substring(end + 1 + text.length());
             long version = 0;
+            byte[] ask = null;
             KeyRange keys = KeyRange.ALL;
             for (String item : words[2].split(",")) {
                 if (item.startsWith("v=")) {
@@ -152,13 +161,17 @@
                     int dash = item.indexOf('-');
                     keys = new KeyRange(Long.parseLong(item.substring(2, dash)),
                             Long.parseLong(item.substring(dash + 1)));
+                } else if (item.startsWith("p=")) {
+                    ask = text.substring(text.length() - Integer.parseInt(item.substring(2)))
+                            .getBytes(StandardCharsets.UTF_8);
                 }
             }
-            part(socket, words[0], Integer.parseInt(words[1]), keys, version);
+            part(socket, words[0], Integer.parseInt(words[1]), keys, version, ask);
         }
     }
 
-    private void part(Socket socket, String part, int slice, KeyRange keys, long version) throws IOException {
+    private void part(Socket socket, String part, int slice, KeyRange keys, long version, byte[] ask)
+            throws IOException {
         String query = part.substring(0, part.lastIndexOf('.'));
         seen.referee().called(seen.now().get(), name, query, part, keys, version, WORK);
         HeldSlices.Held one = null;
@@ -181,7 +194,7 @@
             send(socket, "q" + part + " " + turnedAway + " 0 -\n");
             return;
         }
-        Work work = new Work(socket, query, part, keys, one);
+        Work work = new Work(socket, query, part, keys, one, ask);
         int mine = life;
         workers.execute(() -> work(work, mine));
     }
@@ -207,7 +220,8 @@
             Thread.sleep(WORK.plusNanos((long) (chance() * WORK_MORE.toNanos())).multipliedBy(slowness).toMillis());
             over(work);
             String answer = chance() < badAnswers ? "q" + work.part + " bad 0 -\n"
-                    : "q" + work.part + " good 0 -\n" + Referee.valueOf(work.query, work.keys);
+                    : "q" + work.part + " good 0 -\n" 
+                    + (work.ask == null ? Referee.valueOf(work.query, work.keys) : page(work));
             if (chance() < lateAnswers) {
                 workers.schedule(() -> late(work.socket, answer), (long) (chance() * 500), TimeUnit.MILLISECONDS);
             } else {
@@ -220,6 +234,21 @@
         }
     }
 
+    /** Its rows of the part in the order asked for, and no more of them than fit into an answer. */
+    private String page(Work work) throws IOException {
+        RowForm.Asked asked = RowForm.asked(work.ask);
+        int most = Integer.MAX_VALUE;
+        while (true) {
+            Partial partial = SortedRows.answer(asked.order(), asked.asks(), rows, work.keys, most);
+            byte[] bytes = RowForm.partial(spoilsOrder && partial.rows().size() > 1
+                    ? new Partial(work.keys, SortedRows.turned(partial.rows()), partial.next()) : partial);
+            if (bytes.length <= ANSWER_MOST) {
+                return new String(bytes, StandardCharsets.UTF_8);
+            }
+            most = partial.rows().size() / 2;
+        }
+    }
+
     private void late(Socket socket, String answer) {
         try {
             send(socket, answer);
@@ -282,6 +311,16 @@
         }
     }
 
+    /** What it has of the key space; of a slice it gives the rows that lie in the keys asked for. */
+    void rows(List<Row> all) {
+        rows = List.copyOf(all);
+    }
+
+    /** From now on its rows come with two of them turned. */
+    void spoilOrder(boolean spoils) {
+        spoilsOrder = spoils;
+    }
+
     // ---- troubles
 
     void troubles(double bad, double late) {
--- a/src/main/java/postbeam/router/Call.java
+++ b/src/main/java/postbeam/router/Call.java
@@ -1,6 +1,7 @@
 package postbeam.router;
 
 import java.nio.charset.StandardCharsets;
+import postbeam.pages.Partial;
 import postbeam.state.LeafCall;
 
 /** A leaf call as the network sees it. */
@@ -14,14 +15,19 @@
     private final String more;
     private final long untilNanos;
     private volatile boolean over;
+    /** Reads what comes for a page; null where none was asked for. */
+    final Paged paged;
+    /** What was read of it. */
+    Partial rows;
 
-    Call(LeafCall leaf, String id, String more, byte[] text, long untilNanos) {
+    Call(LeafCall leaf, String id, String more, byte[] text, long untilNanos, Paged paged) {
         this.leaf = leaf;
         this.shard = leaf.part.shard;
         this.id = id;
         this.more = more;
         this.text = text;
         this.untilNanos = untilNanos;
+        this.paged = paged;
     }
 
     void end() {
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import postbeam.Decide;
 import postbeam.Host;
+import postbeam.pages.Ask;
 import postbeam.roster.Roster;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
@@ -63,6 +64,7 @@
     private final Roster roster;
     private final Decide decide;
     private final Slicing slicing;
+    private final Paging paging;
     private final int partsACall;
     private final Duration probeWithin;
     private final Map<DataNode, String> addresses = new IdentityHashMap<>();
@@ -86,17 +88,24 @@
 
     /** The slicing is null where shards stay where the fixed rule puts them. */
     public Decisions(Info settings, long seed, int partsACall, Duration probeWithin, Slicing slicing) {
+        this(settings, seed, partsACall, probeWithin, slicing, null);
+    }
+
+    /** The paging is null where no pages are given; it needs slices. */
+    public Decisions(Info settings, long seed, int partsACall, Duration probeWithin, Slicing slicing, Paging paging) {
         this.verticals = Assembly.verticals(settings);
         this.customers = Assembly.customers(settings);
         this.roster = new Roster(settings.text("zone"));
         this.partsACall = partsACall;
         this.probeWithin = probeWithin;
         this.slicing = slicing;
+        this.paging = paging;
         if (slicing != null) {
             slicing.holders().know(roster::name, at -> at.minus(Duration.ofNanos(startUnixMicros * 1000)));
         }
         this.decide = Assembly.decide(this, new Random(seed),
-                slicing == null ? Assembly.fleet(settings) : new Fleet(slicing.holders()), settings);
+                slicing == null ? Assembly.fleet(settings) : new Fleet(slicing.holders()),
+                paging == null ? settings : paging.less(settings));
     }
 
     // ---- for the threads that serve queries
@@ -106,6 +115,29 @@
      * says why its slices can't be found; nothing is kept of it then.
      */
     public OpenQuery take(Asked asked, Duration age) throws Unroutable {
+        return asked.page() == null ? take(asked, age, null, 0) : takePaged(asked, age);
+    }
+
+    /** The cursor is opened, and what to ask of whom worked out, while nothing is locked. */
+    private OpenQuery takePaged(Asked asked, Duration age) throws Unroutable {
+        Layout held;
+        List<Pin.Named> named;
+        lock.lock();
+        try {
+            // With a cursor the keys are those that it holds.
+            named = slicing.named(asked.parts().isEmpty() ? 0 : asked.layout(), askings(asked));
+            held = slicing.held();
+        } finally {
+            lock.unlock();
+        }
+        return take(asked, age, paging.begin(asked, verticals.get(asked.vertical()), held, named), held.version);
+    }
+
+    private static List<Asking> askings(Asked asked) {
+        return asked.parts().stream().map(part -> new Asking(part.shard(), part.weight(), part.work())).toList();
+    }
+
+    private OpenQuery take(Asked asked, Duration age, Paged paged, long layout) throws Unroutable {
         lock.lock();
         try {
             if (open.containsKey(asked.id())) {
@@ -115,11 +147,12 @@
             Query query = new Query(verticals.get(asked.vertical()), customers.get(asked.owner()), now,
                     now.plus(asked.patience()).minus(age));
             query.repeat = asked.repeat();
-            if (slicing != null) {
-                slicing.take(query, asked.layout(), asked.parts().stream()
-                        .map(part -> new Asking(part.shard(), part.weight(), part.work())).toList());
+            if (paged != null) {
+                slicing.takeKeys(query, paged.version, paged.named);
+            } else if (slicing != null) {
+                slicing.take(query, asked.layout(), askings(asked));
             }
-            OpenQuery q = new OpenQuery(asked, query, lock.newCondition());
+            OpenQuery q = new OpenQuery(asked, query, lock.newCondition(), paged, layout);
             open.put(asked.id(), q);
             byQuery.put(query, q);
             turn(q, now, () -> {
@@ -137,6 +170,69 @@
         }
     }
 
+    /**
+     * Asks again for the page of a query that was answered; null where that may not be. It goes as a query that arrived
+     * with the first and ends at its SLO time, and whose parts inherit the leaf calls for their keys: each of its own is
+     * then one beyond the part's first, for rule 6 and for the part's limit.
+     */
+    OpenQuery takeFurther(OpenQuery first, List<Ask> asks) {
+        lock.lock();
+        try {
+            Duration now = now();
+            Query old = first.query;
+            Duration until = old.sloAt().compareTo(old.deadline) < 0 ? old.sloAt() : old.deadline;
+            Asked asked = first.asked.again(first.further.size() + 1);
+            if (first.left || until.compareTo(now) <= 0 || open.containsKey(asked.id())) {
+                return null;
+            }
+            Query query = new Query(old.vertical, old.customer, old.arrivedAt, until);
+            query.askedAt = old.askedAt;
+            Layout held = slicing.held();
+            Paged paged = first.paged.further(asks, held.version, Paging.asked(held, asks));
+            try {
+                slicing.takeKeys(query, paged.version, paged.named);
+            } catch (Unroutable e) {
+                return null;
+            }
+            if (!paging.begins(now, query.parts.size())) {
+                return null;
+            }
+            for (Part part : query.parts) {
+                inherit((Piece) part, old);
+                first.further.forEach(before -> inherit((Piece) part, before.query));
+            }
+            OpenQuery q = new OpenQuery(asked, query, lock.newCondition(), paged, held.version);
+            first.further.add(q);
+            open.put(asked.id(), q);
+            byQuery.put(query, q);
+            turn(q, now, () -> {
+                decide.queryArrived(now, query);
+                query.parts.forEach(part -> decide.partArrived(now, part));
+            });
+            return q;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static void inherit(Piece young, Query from) {
+        for (Part part : from.parts) {
+            if (((Piece) part).keys.meets(young.keys)) {
+                young.inherit(part);
+            }
+        }
+    }
+
+    /** What came for the page of a query that was answered. */
+    void cameFor(OpenQuery q) {
+        lock.lock();
+        try {
+            q.paged.came.addAll(q.counted);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** The next thing to do for the query; waits until there is one. */
     public Step pick(OpenQuery q) throws InterruptedException {
         lock.lockInterruptibly();
@@ -164,20 +260,30 @@
     public void left(OpenQuery q) {
         lock.lock();
         try {
-            if (byQuery.containsKey(q.query)) {
-                Duration now = now();
-                turn(q, now, () -> decide.clientLeft(now, q.query));
-                finish(q, new Step.Over());
-            }
+            q.left = true;
+            leave(q);
+            q.further.forEach(this::leave);
         } finally {
             lock.unlock();
         }
     }
 
+    private void leave(OpenQuery q) {
+        if (byQuery.containsKey(q.query)) {
+            Duration now = now();
+            turn(q, now, () -> decide.clientLeft(now, q.query));
+            finish(q, new Step.Over());
+        }
+    }
+
     // ---- for those that hear from data nodes and discovery
 
-    /** Tells how leaf calls ended, each once; one that has ended otherwise meanwhile is passed over. */
-    public void report(List<Ending> endings) {
+    /**
+     * Tells how leaf calls ended, each once; one that has ended otherwise meanwhile is passed over. Rows that are spoilt
+     * are an error of the node, and the part may go to another.
+     */
+    public void report(List<Ending> told) {
+        List<Ending> endings = paging == null ? told : told.stream().map(Decisions::read).toList();
         lock.lock();
         try {
             Duration now = now();
@@ -187,6 +293,16 @@
         }
     }
 
+    /** Before the lock is taken: it may be much to read. */
+    private static Ending read(Ending ending) {
+        Call call = ending.call();
+        if (call.paged == null || ending.outcome() != Outcome.MERGED) {
+            return ending;
+        }
+        call.rows = call.paged.read(call.id, ((Piece) call.leaf.part).keys, ending.value());
+        return new Ending(call, call.rows == null ? Outcome.ERROR : Outcome.MERGED);
+    }
+
     public void probed(String node, boolean answered) {
         lock.lock();
         try {
@@ -422,7 +538,11 @@
         LeafCall leaf = ending.call().leaf;
         OpenQuery q = byQuery.get(leaf.part.query);
         if (q != null && !leaf.ended && ending.outcome() == Outcome.MERGED) {
-            q.values.putIfAbsent(leaf.part, ending.value());
+            if (q.paged == null) {
+                q.values.putIfAbsent(leaf.part, ending.value());
+            } else {
+                q.rows.putIfAbsent(leaf.part, ending.call().rows);
+            }
         }
         tried(q, () -> ended(now, leaf, ending.outcome()));
     }
@@ -481,9 +601,10 @@
         if (slicing != null) {
             KeyRange keys = ((Piece) leaf.part).keys;
             id += "-" + Long.toHexString(keys.from());
-            more = ",v=" + slicing.held().version + ",k=" + keys;
+            more = ",v=" + slicing.held().version + ",k=" + keys + (q.paged == null ? "" : ",p=" + q.paged.askBytes);
         }
-        Call call = new Call(leaf, id, more, q.asked.text(), startNanos + until.toNanos());
+        Call call = new Call(leaf, id, more, q.paged == null ? q.asked.text() : q.paged.text,
+                startNanos + until.toNanos(), q.paged);
         q.calls.add(call);
         sends.computeIfAbsent(leaf.node, node -> new ArrayList<>()).add(call);
         out.put(leaf, new Out(call, after(until, () -> timedOut(leaf))));
@@ -507,6 +628,9 @@
             Pin pin = slicing.pinOf(query);
             Pin.Counted counted = pin.counted(query);
             for (Piece piece : counted.pieces()) {
+                if (q.paged != null) {
+                    q.counted.add(q.rows.get(piece));
+                }
                 values.add(new Step.Value(piece.shard, q.values.get(piece), new Step.Cover(piece.keys.from(),
                         piece.keys.to(), pin.namesOf(piece.keys))));
             }
--- a/src/main/java/postbeam/router/OpenQuery.java
+++ b/src/main/java/postbeam/router/OpenQuery.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.locks.Condition;
+import postbeam.pages.Partial;
 import postbeam.state.Part;
 import postbeam.state.Query;
 
@@ -18,11 +19,27 @@
     final Deque<Step> steps = new ArrayDeque<>();
     final List<Call> calls = new ArrayList<>();
     final Map<Part, byte[]> values = new IdentityHashMap<>();
+    /** What it has to do with pages; null where none was asked for. */
+    final Paged paged;
+    /** The layout's version when it was taken; 0 without pages. */
+    final long layout;
+    /** The parts' rows; empty without pages. */
+    final Map<Part, Partial> rows;
+    /** What counts of them in the answer. */
+    final List<Partial> counted;
+    /** Queries that ask again for its page, in turn. */
+    final List<OpenQuery> further;
+    boolean left;
 
-    OpenQuery(Asked asked, Query query, Condition changed) {
+    OpenQuery(Asked asked, Query query, Condition changed, Paged paged, long layout) {
         this.asked = asked;
         this.query = query;
         this.changed = changed;
+        this.paged = paged;
+        this.layout = layout;
+        this.rows = paged == null ? Map.of() : new IdentityHashMap<>();
+        this.counted = paged == null ? List.of() : new ArrayList<>();
+        this.further = paged == null ? List.of() : new ArrayList<>();
     }
 
     void add(Step step) {
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -23,6 +23,7 @@
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
 import postbeam.layouts.LayoutWatch;
+import postbeam.pages.Ask;
 import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
@@ -67,6 +68,8 @@
     private final String started;
     private final LeaveTimes leaveTimes;
     private final boolean sliced;
+    /** Null where no pages are given. */
+    private final Paging paging;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
     private volatile boolean listed;
@@ -79,6 +82,11 @@
 
     /** Where slices move: what makes of the layout what it decides, and where the layout is told. */
     public Router(Startup startup, Slicing slicing, String layouts) throws IOException {
+        this(startup, slicing, layouts, null);
+    }
+
+    /** Where pages are given too: the paging, else null. It needs slices. */
+    public Router(Startup startup, Slicing slicing, String layouts, Paging paging) throws IOException {
         check(startup);
         Info settings = startup.settings;
         String listen = startup.address("listen");
@@ -97,7 +105,8 @@
         int rehearsedShards = settings.atLeast("domain.shards", 1);
         Set<String> owners = Assembly.customers(settings).keySet();
         int partsACall = settings.atLeast("domain.partsACall", 1);
-        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing);
+        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing, paging);
+        this.paging = paging;
         sliced = slicing != null;
         layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut) : null;
         cells = settings.atLeast("domain.cells", 1);
@@ -111,6 +120,9 @@
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 owners, shards, clientsMost);
+        if (paging != null) {
+            clients.pages(paging.rowsMost());
+        }
         rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin, null),
                 settings.text("zone"), cells, List.copyOf(usualWaits.keySet()), owners.stream().findFirst().orElse(null),
                 rehearsedShards);
@@ -276,11 +288,31 @@
 
     @Override
     public Step serve(OpenQuery q) throws InterruptedException {
+        Step last = served(q);
+        return q.paged != null && last instanceof Step.Answer answer
+                ? paging.given(q, answer, asks -> further(q, asks)) : last;
+    }
+
+    /** Asks again for the page; null where that may not be. */
+    private Paged further(OpenQuery first, List<Ask> asks) throws InterruptedException {
+        OpenQuery q = decisions.takeFurther(first, asks);
+        if (q == null) {
+            return null;
+        }
+        served(q);
+        return q.paged;
+    }
+
+    /** Serves the query until its last step. */
+    private Step served(OpenQuery q) throws InterruptedException {
         while (true) {
             Step step = decisions.pick(q);
             if (step instanceof Step.Send || step instanceof Step.GiveUp) {
                 carryOut(step);
             } else {
+                if (q.paged != null) {
+                    decisions.cameFor(q);
+                }
                 return step;
             }
         }
--- a/src/main/java/postbeam/router/Step.java
+++ b/src/main/java/postbeam/router/Step.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import postbeam.errors.Explained;
+import postbeam.pages.PageGiven;
 
-/** The next thing to do; the last four end a query. */
+/** The next thing to do; all but the first three end a query. */
 public sealed interface Step {
     /** Sends these leaf calls to the node at this address, together. */
     record Send(String address, List<Call> calls) implements Step { }
@@ -14,8 +16,12 @@
     /** Asks a node how it is. */
     record Probe(String node, String address) implements Step { }
 
-    /** Answers from these parts; the layout is the version whose slices they make whole, 0 where none moves. */
-    record Answer(boolean whole, List<Value> values, long layout) implements Step { }
+    /** Answers from these parts; the layout is the version whose slices they make whole, 0 where none moves; no page: null. */
+    record Answer(boolean whole, List<Value> values, long layout, PageGiven page) implements Step {
+        Answer(boolean whole, List<Value> values, long layout) {
+            this(whole, values, layout, null);
+        }
+    }
 
     /** Says that asking again is harmless, after a wait if it is above zero. */
     record Reject(Duration comeBack) implements Step { }
@@ -26,7 +32,10 @@
     /** The client has left: nothing is to be said. */
     record Over() implements Step { }
 
-    /** What a data node gave for a shard. */
+    /** Ends the query for this reason, which its client and the log are told; asking again is harmless. */
+    record Refused(Explained why) implements Step { }
+
+    /** What a data node gave for a shard; no text where it gave rows of a page. */
     record Value(int shard, byte[] text, Cover cover) { }
 
     /** Which keys a value is for, from one up to another, and which of the slices that the client named they are in. */
--- a/src/main/java/postbeam/setup/Info.java
+++ b/src/main/java/postbeam/setup/Info.java
@@ -20,6 +20,18 @@
         this.prefix = "";
     }
 
+    private Info(Info other) {
+        this.prefix = other.prefix;
+        values.putAll(other.values);
+    }
+
+    /** The same with one value told otherwise. */
+    public Info with(String path, String value) {
+        Info other = new Info(this);
+        other.values.put(path, value);
+        return other;
+    }
+
     /** From an object of JSON, whose nested names become paths; messages name its paths with the prefix. */
     public Info(Map<String, Object> object, String prefix) {
         this.prefix = prefix;
--- a/src/main/java/postbeam/slices/Slicing.java
+++ b/src/main/java/postbeam/slices/Slicing.java
@@ -67,6 +67,11 @@
      * joined to the slices in force. An Unroutable says why it can't be done, and nothing has been done then.
      */
     public final void take(Query query, long named, List<Asking> askings) throws Unroutable {
+        takeKeys(query, named == 0 && held != null ? held.version : named, named(named, askings));
+    }
+
+    /** The keys of what a client names by a version that it knows; an Unroutable says why they can't be found. */
+    public final List<Pin.Named> named(long named, List<Asking> askings) throws Unroutable {
         if (held == null) {
             throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "no layout is known yet");
         }
@@ -80,7 +85,6 @@
                     + held.version + " is in force");
         }
         List<Pin.Named> names = new ArrayList<>();
-        List<Fragment> fragments = new ArrayList<>();
         for (Asking asking : askings) {
             KeyRange keys = held.keysOf(asking.slice(), version);
             if (keys == null) {
@@ -88,9 +92,15 @@
                         + asking.slice());
             }
             names.add(new Pin.Named(asking.slice(), keys, asking.weight(), asking.work()));
-            fragments.addAll(Fragment.cut(held, keys));
         }
-        fragments = Fragment.joined(fragments);
+        return names;
+    }
+
+    /** Gives the query its parts: these keys, which are apart, cut and joined to the slices in force. */
+    public final void takeKeys(Query query, long version, List<Pin.Named> names) throws Unroutable {
+        List<Fragment> cut = new ArrayList<>();
+        names.forEach(one -> cut.addAll(Fragment.cut(held, one.keys())));
+        List<Fragment> fragments = Fragment.joined(cut);
         if (fragments.size() > PARTS_MOST) {
             throw new Unroutable(Unroutable.Reason.NO_SUCH_SLICE, "the query would take " + fragments.size() + " parts");
         }
--- a/src/test/java/postbeam/rig/LayoutsIT.java
+++ b/src/test/java/postbeam/rig/LayoutsIT.java
@@ -54,6 +54,7 @@
         String file = Files.readString(Path.of("deploy/postbeam.json5")).replace("enabled: false", "enabled: true")
                 .replace("127.0.0.1:7080", listen).replace("127.0.0.1:8500", discovery.address())
                 .replace("\"moves.log\"", "\"" + dir.resolve("moves.log") + "\"").replace("firstSlices: 64", "firstSlices: 4")
+                .replace(" key: \"\"", " key: \"" + "5c".repeat(32) + "\"")
                 .replace("firstHolders: 3", "firstHolders: 2").replace("holders: 3", "holders: 2")
                 .replace("restMs: 30000", "restMs: 0").replace("history: 64", "history: 1").replace("againMs: 1000", "againMs: 50");
         settings = Files.writeString(dir.resolve("own.json5"), file).toString();
