Pages over sockets: three router processes read one chain through re-cuts, dying nodes and a spoilt order

PagesIT starts the built program: a layout service, three routers (one with changed keys), stand-in nodes holding rows. A chain is read through changing routers while a slice is split, moved and merged and a router is killed, and is the plain sort byte for byte; a node that spoils the order is passed over; a missing range is named, owed and given once; cursors that can't be gone on from are refused with nothing sent.

--- /dev/null
+++ b/src/test/java/postbeam/rig/PagesIT.java
@@ -0,0 +1,285 @@
+package postbeam.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import postbeam.pages.Mark;
+import postbeam.pages.Order;
+import postbeam.pages.Partial;
+import postbeam.pages.Row;
+import postbeam.pages.RowForm;
+import postbeam.pages.SortKey;
+import postbeam.setup.Json;
+import postbeam.slices.KeyRange;
+
+/** Router processes that share nothing read one chain of pages, through a layout service's re-cuts and dying nodes. */
+class PagesIT {
+    private static final Duration LONG = Duration.ofSeconds(30);
+    private static final int ROUTERS = 3;
+    private static final int ROWS = 400;
+    private static final Order ORDER = new Order(List.of(new SortKey("fare", true, true), new SortKey("to", false, false)));
+    private static final String ASKED_ORDER = "[{\"by\":\"fare\",\"descending\":true,\"missing\":\"first\"},{\"by\":\"to\"}]";
+
+    @TempDir
+    private Path dir;
+    private final List<StandInNode> nodes = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final List<Process> routers = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final List<Row> rows = new ArrayList<>();
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Referee referee = new Referee(Stage.RULES, LONG, LONG);
+    private StandInDiscovery discovery;
+    private String service;
+    private int asked;
+
+    @BeforeEach
+    void stage() throws Exception {
+        Random chance = new Random(5);
+        for (int i = 0; i < ROWS; i++) {
+            int fare = chance.nextInt(9);
+            rows.add(new Row(new Mark(Arrays.asList(fare == 0 ? null : (Object) (long) fare, "city " + chance.nextInt(4)),
+                    (long) (chance.nextDouble() * KeyRange.KEYS), i), "seat " + i + " to K\u00f8ge"));
+        }
+        discovery = new StandInDiscovery();
+        for (int i = 0; i < 4; i++) {
+            StandInNode node = new StandInNode("n" + i, "z" + i % 2, new StandInNode.Seen(referee, () -> Duration.ZERO,
+                    new ConcurrentHashMap<>()), RandomSource.XO_RO_SHI_RO_128_PP.create(i), false);
+            node.rows(rows);
+            nodes.add(node);
+            discovery.tell(node, "up", 0);
+        }
+        service = freeAddress();
+        String file = Files.readString(Path.of("deploy/postbeam.json5")).replace("127.0.0.1:7080", service)
+                .replace("127.0.0.1:8500", discovery.address()).replace("follow: {enabled: false", "follow: {enabled: true")
+                .replaceFirst("(serve: \\{\\s+enabled: )false", "$1true").replaceFirst("(pages: \\{\\s+enabled: )false", "$1true")
+                .replace("\"moves.log\"", "\"" + dir.resolve("moves.log") + "\"").replace("firstSlices: 64", "firstSlices: 4")
+                .replace("firstHolders: 3", "firstHolders: 2").replace("holders: 3", "holders: 2")
+                .replace("restMs: 30000", "restMs: 0").replace("againMs: 1000", "againMs: 50");
+        String first = own("first.json5", file, "5c", "");
+        start("service", "layouts", "serve", "--settings", first);
+        until(() -> layouts("verify", first).startsWith("0 sound"));
+        for (int i = 0; i < ROUTERS; i++) {
+            String listen = freeAddress();
+            String config = Files.writeString(dir.resolve("config" + i + ".json"),
+                    Files.readString(Path.of("deploy/example.json")).replace("127.0.0.1:7070", listen)
+                            .replace("127.0.0.1:8500", discovery.address()).replaceAll("\"known\": [^]]*\\]},", "")
+                            .replace("\"classNeed\": [0.75", "\"classNeed\": [1.0")
+                            .replace("\"leastShare\": [0.75", "\"leastShare\": [0.4")
+                            .replace("\"quotaPerS\": 5.0", "\"quotaPerS\": 500")).toString();
+            // The last router has had its keys changed already.
+            String settings = i + 1 < ROUTERS ? own("own" + i + ".json5", file, "5c", "e1") : own("own" + i + ".json5", file,
+                    "e1", "5c");
+            addresses.add(listen);
+            routers.add(start("router" + i, "serve", "--config", config, "--settings", settings));
+        }
+        for (String address : addresses) {
+            until(() -> {
+                try {
+                    return http.send(HttpRequest.newBuilder(URI.create("http://" + address + "/healthz")).build(),
+                            HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+        }
+    }
+
+    @AfterEach
+    void giveBack() throws InterruptedException {
+        for (Process one : processes) {
+            one.destroyForcibly().waitFor();
+        }
+        discovery.close();
+        nodes.forEach(StandInNode::close);
+    }
+
+    private String own(String name, String file, String key, String old) throws IOException {
+        return Files.writeString(dir.resolve(name), file.replace(" key: \"\"", " key: \"" + key.repeat(32) + "\"")
+                .replace("oldKey: \"\"", "oldKey: \"" + old.repeat(32) + "\"")).toString();
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + free.getLocalPort();
+        }
+    }
+
+    private Process start(String log, String... words) throws IOException {
+        List<String> command = new ArrayList<>(List.of("java", "-jar", "target/postbeam.jar"));
+        command.addAll(List.of(words));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(dir.resolve(log + ".txt").toFile()).start();
+        processes.add(process);
+        return process;
+    }
+
+    private String layouts(String verb, String settings, String... more) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of("java", "-jar", "target/postbeam.jar", "layouts", verb, "--settings",
+                settings));
+        command.addAll(List.of(more));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+        return process.waitFor() + " " + said;
+    }
+
+    private void change(String change, String sound) throws Exception {
+        String settings = dir.resolve("first.json5").toString();
+        assertTrue(layouts("start", settings, "--change", change).startsWith("0 "), change);
+        until(() -> layouts("verify", settings).equals("0 sound: " + sound));
+    }
+
+    private static void until(Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + LONG.toNanos();
+        while (!condition.call()) {
+            assertTrue(System.nanoTime() < end, "the condition did not come");
+            Thread.sleep(50);
+        }
+    }
+
+    /** Status, a space, and the body. */
+    private String asked(int router, String vertical, String more) throws IOException, InterruptedException {
+        HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create("http://" + addresses.get(router) + "/"
+                + vertical + "?obj=1")).header("Req-Id", "q" + asked++).header("Req-Owner", "acme")
+                .header("Req-Deadline-Ms", "7000").timeout(LONG)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"predicate\":\"x\"," + more + "}")).build(),
+                HttpResponse.BodyHandlers.ofString());
+        return answer.statusCode() + " " + answer.body().strip();
+    }
+
+    private static String first(int size) {
+        StringBuilder ranges = new StringBuilder();
+        for (int i = 0; i < 4; i++) {
+            ranges.append(i == 0 ? "" : ",").append("{\"range\":").append(i).append(",\"portion\":0.25}");
+        }
+        return "\"page\":" + size + ",\"order\":" + ASKED_ORDER + ",\"ranges\":[" + ranges + "]";
+    }
+
+    private static String next(int size, String cursor) {
+        return "\"page\":" + size + ",\"order\":" + ASKED_ORDER + ",\"cursor\":\"" + cursor + "\"";
+    }
+
+    /** A page: its rows, and what was missing; the rows are added to the chain. Null: it was turned away. */
+    private Map<String, Object> page(int router, String more, List<Row> chain) throws Exception {
+        String said = asked(router, "search", more);
+        if (said.startsWith("503")) {
+            return null;
+        }
+        assertTrue(said.startsWith("200 "), said);
+        Map<String, Object> answer = Json.object(said.substring(4).getBytes(StandardCharsets.UTF_8));
+        Map<?, ?> page = Json.member(answer, "page", Map.class);
+        assertFalse(said.contains("\"blob\""), said);
+        Order order = ORDER;
+        List<Row> came = RowForm.partial(KeyRange.ALL, ("{\"rows\":" + said.substring(said.indexOf("\"rows\":") + 7,
+                said.lastIndexOf(",\"short\"")) + "}").getBytes(StandardCharsets.UTF_8)).rows();
+        for (int i = 1; i < came.size(); i++) {
+            assertTrue(order.compare(came.get(i - 1).at(), came.get(i).at()) < 0, "a page ascends");
+        }
+        chain.addAll(came);
+        answer.put("missing", page.get("missing"));
+        return answer;
+    }
+
+    private static String written(List<Row> rows) {
+        return new String(RowForm.partial(new Partial(KeyRange.ALL, rows, null)), StandardCharsets.UTF_8);
+    }
+
+    private List<Row> sorted() {
+        return SortedRows.sorted(ORDER, rows, KeyRange.ALL);
+    }
+
+    @Test
+    void oneChainIsReadThroughRoutersThatShareNothingWhileSlicesAreCutAndMoved() throws Exception {
+        List<Row> chain = new ArrayList<>();
+        Map<String, Object> page = null;
+        int pages = 0;
+        while (pages == 0 || page == null || page.get("cursor") != null) {
+            if (pages == 2) {
+                change("{\"split\": 0, \"at\": [" + (1L << 44) + "]}", "layout 2, 5 slices");
+            } else if (pages == 4) {
+                change("{\"move\": 2, \"off\": \"n2\", \"onto\": \"n0\"}", "layout 3, 5 slices");
+                // One of two holders spoils the order from now on: what it says is not merged.
+                nodes.get(1).spoilOrder(true);
+            } else if (pages == 6) {
+                change("{\"merge\": [4, 5]}", "layout 4, 4 slices");
+                routers.get(0).destroyForcibly().waitFor();
+            }
+            int router = pages < 6 ? pages % ROUTERS : 1 + pages % (ROUTERS - 1);
+            Map<String, Object> last = page;
+            Map<String, Object> came = page(router, last == null ? first(37) : next(37, (String) last.get("cursor")), chain);
+            if (came != null) {
+                assertEquals(List.of(), came.get("missing"));
+                page = came;
+                pages++;
+            }
+            assertTrue(chain.size() <= ROWS, "more rows than there are");
+        }
+        assertEquals(written(sorted()), written(chain));
+        assertTrue(pages >= ROWS / 37, "pages are no larger than asked for");
+        assertTrue(Files.readString(dir.resolve("router1.txt")).contains("a row out of order; see whether that data node")
+                || Files.readString(dir.resolve("router2.txt")).contains("a row out of order; see whether that data node"));
+    }
+
+    @Test
+    void whatIsMissingIsNamedAndOwedAndComesOnce() throws Exception {
+        List<Row> chain = new ArrayList<>();
+        Map<String, Object> page = page(0, first(50), chain);
+        // The slice of these two is gone.
+        nodes.get(0).die();
+        nodes.get(1).die();
+        page = page(1, next(50, (String) page.get("cursor")), chain);
+        assertEquals(List.of(Map.of("from", 0, "to", KeyRange.KEYS / 4)), page.get("missing"));
+        assertEquals(false, page.get("total"));
+        nodes.get(0).back();
+        nodes.get(1).back();
+        int router = 2;
+        while (page.get("cursor") != null) {
+            Map<String, Object> came = page(router++ % ROUTERS, next(50, (String) page.get("cursor")), chain);
+            page = came == null ? page : came;
+            assertTrue(chain.size() <= ROWS, "more rows than there are");
+        }
+        chain.sort((one, other) -> ORDER.compare(one.at(), other.at()));
+        assertEquals(written(sorted()), written(chain));
+    }
+
+    @Test
+    void aCursorThatCantBeGoneOnFromIsRefusedBeforeAnythingIsSent() throws Exception {
+        String cursor = (String) page(0, first(10), new ArrayList<>()).get("cursor");
+        long sent = referee.calls();
+        char last = cursor.charAt(30);
+        assertEquals("400 the cursor is not as it was given; see whether the client keeps cursors whole, and begin with the "
+                + "first page", asked(1, "search", next(10, cursor.substring(0, 30) + (last == 'A' ? 'B' : 'A')
+                + cursor.substring(31))));
+        assertTrue(asked(1, "search", next(10, cursor).replace("\"by\":\"to\"", "\"by\":\"from\""))
+                .startsWith("400 the cursor is of another query; "));
+        assertTrue(asked(1, "search", next(1001, cursor)).startsWith("400 page can't be used: it takes 1 to 1000 rows; "));
+        assertTrue(asked(1, "search", next(10, cursor).replace("true", "\"yes\"")).startsWith("400 order can't be used: "));
+        assertTrue(asked(1, "hold", first(10)).startsWith("400 vertical hold is not repeatable"));
+        assertEquals(sent, referee.calls());
+        assertTrue(asked(2, "search", next(10, cursor)).startsWith("200 "), "and the sound one goes on, by the older key");
+    }
+}
