--- a/src/main/java/postbeam/rig/TogetherTrial.java
+++ b/src/main/java/postbeam/rig/TogetherTrial.java
@@ -21,7 +21,6 @@
     /** Between two faults, in milliseconds, and up to so much more. */
     private static final int BEAT = 300;
     private static final int BEAT_MORE = 700;
-    private static final Duration LONGEST = Duration.ofMinutes(4);
     private static final String UNTOLD = "drain-untold";
 
     /** Defects that a wrong configuration makes of a router: it keeps to less than its referee holds it to. */
@@ -61,29 +60,15 @@
         UnaryOperator<String> altered = ALTERED.getOrDefault(String.valueOf(defect), config -> config);
         try (ProcessFleet fleet = new ProcessFleet(new ProcessFleet.Size(NODES, ROUTERS, SHARDS, false,
                 (name, config) -> altered.apply(config)), seed)) {
-            Load load = new Load(fleet, false, SHARDS, RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1));
-            Thread clients = new Thread(() -> {
-                try {
-                    load.run(RATE, LONGEST);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "trial load");
-            clients.start();
+            ProcessFleet.Clients clients = fleet.clients(RATE, seed + 1);
+            Load load = clients.load;
             try {
-                new Script(fleet, RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2), UNTOLD.equals(defect), figures)
-                        .play();
-                for (int i = 0; i < ROUTERS; i++) {
-                    int router = i;
-                    int before = load.served(i);
-                    fleet.until("r" + i + " serves again", () -> load.served(router) > before + 20);
-                }
+                new Script(fleet, RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2), UNTOLD.equals(defect)).play();
+                clients.allServe();
             } catch (IOException e) {
                 broken.add(e.getMessage());
-            } finally {
-                load.stop();
-                clients.join();
             }
+            clients.stop();
             Referee judged = fleet.judged();
             figures.add(String.format(Locale.ROOT, "seed %d: %d queries, %.4f in SLO time; %d calls, %d further, %d runs; "
                     + "99th percentile %.0f ms; statuses %s", seed, load.asked(), load.inTime(), judged.calls(),
@@ -99,7 +84,7 @@
     }
 
     /** The faults of a seed; each is over by the end. */
-    private record Script(ProcessFleet fleet, UniformRandomProvider chance, boolean untold, List<String> figures) {
+    private record Script(ProcessFleet fleet, UniformRandomProvider chance, boolean untold) {
         void play() throws IOException, InterruptedException {
             String down = null;
             String stopped = null;
