Trial of bounds: shared decisions under everything that can fail, on the jumping clock

Several routers' stripes on a clock that jumps, with loss, delay, doubling, overtaking, cuts in one direction or both, crashes, restarts under the same name, stops between check and send, starved threads and clocks that run apart; a referee sums what was sent in every window and looks that one router at most is in office.

Planted and caught: lease used after a stop, keeper without majority, successor that grants at once, forgetful voter, forgetful sender, checks not held down.

--- /dev/null
+++ b/src/main/java/postbeam/rig/BoundsWorld.java
@@ -0,0 +1,506 @@
+package postbeam.rig;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import postbeam.shared.Ballot;
+import postbeam.shared.Budget;
+import postbeam.shared.LeaseAsk;
+import postbeam.shared.LeaseTerms;
+import postbeam.shared.NodeKey;
+import postbeam.shared.OfficeTerms;
+import postbeam.shared.Stripe;
+import postbeam.shared.Who;
+
+/**
+ * The shared decisions of several routers on a clock that jumps: messages are lost, late, doubled and overtaken, ways are
+ * cut in one direction or both, processes crash, come back under their name, are stopped anywhere and wake, and their
+ * clocks run apart. A referee with the only true clock sums what cold nodes were sent.
+ */
+final class BoundsWorld {
+    /** How large, how long and how rough; troubles come while the load does, but for the last part of it. */
+    record Plan(int routers, int nodes, int stripes, Duration length, boolean faults, int cutOff, LeaseTerms leases,
+            OfficeTerms offices, PlantedSharing.Defect defect) { }
+
+    /** What the routers sent of what they might: figures of a run. */
+    record Use(double used, double budget, int won, int sends, Duration evenAt) { }
+
+    private static final Duration TICK = Duration.ofMillis(20);
+    /** Calm at the end, for keepers to be found and leases to be granted again. */
+    static final Duration CALM = Duration.ofSeconds(8);
+    /** How far the clocks run apart, as a share: over the longest span less than the drift of the terms. */
+    private static final double RATES = 0.004;
+    private static final double FIRST_BUDGET = 4;
+    /** The ramp at whose end the budget is so many times the first. */
+    private static final Duration RAMP = Duration.ofSeconds(30);
+    private static final double RISES_TO = 2;
+    /** As one router sends them, to any node: more than the budgets hold. */
+    private static final Duration BETWEEN_BURSTS = Duration.ofMillis(6);
+    private static final int BURST_MOST = 12;
+    private static final Duration STARVED = Duration.ofMillis(600);
+    private static final double STOPPED_IN_A_BURST = 0.001;
+    /** Bursts that wait for a process that was stopped. */
+    private static final int QUEUED = 40;
+
+    private record Event(Duration at, long number, Runnable what) { }
+
+    /** One process after the other under one name. */
+    private final class Router {
+        final String name;
+        final double rate = 1 + RATES * (2 * chance.nextDouble() - 1);
+        final Duration offset = Duration.ofNanos((long) (chance.nextDouble() * 1e12));
+        Who who;
+        List<Stripe> stripes;
+        /** Its threads get little time: sends follow their checks late. */
+        final boolean starved = chance.nextDouble() < 0.3;
+        boolean stopped;
+        boolean crashed;
+        /** What came while it was stopped. */
+        final List<Runnable> held = new ArrayList<>();
+        /** By node: the incarnation it knows, and when it heard of it. */
+        final Map<String, NodeKey> knows = new LinkedHashMap<>();
+        final Map<NodeKey, Duration> heardAt = new LinkedHashMap<>();
+
+        Router(String name) {
+            this.name = name;
+        }
+
+        Duration clock() {
+            return offset.plusNanos((long) (now.toNanos() * rate));
+        }
+
+        void start() {
+            crashed = false;
+            who = new Who(name, ++incarnations);
+            knows.clear();
+            stripes = IntStream.range(0, plan.stripes()).mapToObj(i -> PlantedSharing.of(plan.defect(), i, who, names,
+                    plan.leases(), plan.offices(), clock(), new Random(chance.nextLong()))).toList();
+            nodes.forEach((node, key) -> hears(key));
+            run(this::tick);
+            run(this::nextSend);
+        }
+
+        void hears(NodeKey key) {
+            NodeKey known = knows.get(key.node());
+            if (known == null || known.incarnation() < key.incarnation()) {
+                knows.put(key.node(), key);
+                heardAt.put(key, clock());
+            }
+        }
+
+        /** Runs this now, once it goes on, or never, if this process is over by then. */
+        void run(Runnable what) {
+            Who mine = who;
+            Runnable still = () -> {
+                if (mine.equals(who) && !crashed) {
+                    what.run();
+                }
+            };
+            if (stopped) {
+                held.add(still);
+            } else {
+                still.run();
+            }
+        }
+
+        void later(Duration wait, Runnable what) {
+            Who mine = who;
+            after(wait, () -> {
+                if (mine.equals(who)) {
+                    run(what);
+                }
+            });
+        }
+
+        void stop() {
+            stopped = true;
+        }
+
+        void wake() {
+            stopped = false;
+            List<Runnable> all = new ArrayList<>(held);
+            held.clear();
+            while (!all.isEmpty()) {
+                all.remove(chance.nextInt(all.size())).run();
+            }
+            // What queued up before it.
+            for (int i = 0; i < QUEUED; i++) {
+                later(upTo(TICK.multipliedBy(5)), this::sendAny);
+            }
+        }
+
+        void crash() {
+            crashed = true;
+            held.clear();
+            stopped = false;
+        }
+
+        // ---- what the process does
+
+        void tick() {
+            later(TICK, this::tick);
+            for (int i = 0; i < stripes.size(); i++) {
+                Stripe stripe = stripes.get(i);
+                boolean was = stripe.office().inOffice(clock());
+                Stripe.Due due = stripe.due(clock());
+                if (due.ballot() != null) {
+                    routers.stream().filter(other -> other != this).forEach(other -> ask(other, due.ballot()));
+                }
+                int at = i;
+                due.asks().forEach(asked -> routers.stream().filter(other -> other.name.equals(due.keeper().name()))
+                        .forEach(other -> ask(other, at, asked)));
+                won += !was && stripe.office().inOffice(clock()) ? 1 : 0;
+            }
+        }
+
+        private void ask(Router other, Ballot ballot) {
+            Stripe mine = stripes.get(ballot.stripe());
+            message(this, other, () -> {
+                var vote = other.stripes.get(ballot.stripe()).asked(other.clock(), ballot);
+                message(other, this, mine, () -> {
+                    boolean was = mine.office().inOffice(clock());
+                    mine.answered(clock(), vote);
+                    if (!was && mine.office().inOffice(clock())) {
+                        won++;
+                        oneKeeper(ballot.stripe());
+                    }
+                });
+            });
+        }
+
+        private void ask(Router other, int stripe, LeaseAsk asked) {
+            Stripe mine = stripes.get(stripe);
+            message(this, other, () -> {
+                var grant = other.stripes.get(stripe).asked(other.clock(), asked);
+                message(other, this, mine, () -> mine.granted(clock(), grant));
+            });
+        }
+
+        void nextSend() {
+            // Some routers have most of the work.
+            double busy = routers.indexOf(this) % 3 == 0 ? 1 : 2;
+            later(Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) * BETWEEN_BURSTS.toNanos() * busy)),
+                    this::nextSend);
+            sendAny();
+        }
+
+        private void sendAny() {
+            if (!knows.isEmpty()) {
+                NodeKey key = new ArrayList<>(knows.values()).get(chance.nextInt(knows.size()));
+                for (int i = chance.nextInt(BURST_MOST); i >= 0; i--) {
+                    send(key);
+                }
+                // Just there, between checks and sends.
+                if (troubled && chance.nextDouble() < STOPPED_IN_A_BURST) {
+                    halt(this, upTo(Duration.ofSeconds(4)));
+                }
+            }
+        }
+
+        private void send(NodeKey key) {
+            Stripe stripe = stripes.get(stripeOf(key.node()));
+            double amount = plan.leases().callMost() * (0.2 + 0.8 * chance.nextDouble());
+            // Its age as heard, by its own clock, is never above the true one.
+            Duration age = Duration.ofNanos((long) (clock().minus(heardAt.get(key)).toNanos() * (1 - 2 * RATES)));
+            if (!stripe.take(clock(), key, amount, budget(age))) {
+                return;
+            }
+            if (plan.defect() == PlantedSharing.Defect.CHECKS_NOT_HELD_DOWN) {
+                stripe.out(key, amount);
+            }
+            // The thread goes on to its send: at once, or whenever the process does.
+            later(troubled && starved ? upTo(STARVED) : Duration.ofNanos((long) (chance.nextDouble()
+                    * (chance.nextDouble() < 0.1 ? 3e7 : 1e6))), () -> {
+                sent(key, amount);
+                if (plan.defect() != PlantedSharing.Defect.CHECKS_NOT_HELD_DOWN) {
+                    stripe.out(key, amount);
+                }
+            });
+        }
+    }
+
+    private final Plan plan;
+    private final UniformRandomProvider chance;
+    private final List<String> names;
+    private final List<Router> routers = new ArrayList<>();
+    private final Map<String, NodeKey> nodes = new LinkedHashMap<>();
+    private final Map<NodeKey, Duration> startedAt = new LinkedHashMap<>();
+    private final Map<NodeKey, Deque<Map.Entry<Duration, Double>>> sent = new LinkedHashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparing(Event::at).thenComparingLong(Event::number));
+    private final List<String> broken = new ArrayList<>();
+    private final boolean[][] cut;
+    private long eventCount;
+    private long incarnations;
+    private Duration now = Duration.ZERO;
+    private boolean troubled;
+    private int won;
+    private int sends;
+    private double used;
+    private double measured;
+    private Duration carriesAt;
+
+    BoundsWorld(Plan plan, long seed) {
+        this.plan = plan;
+        this.chance = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        this.names = IntStream.range(0, plan.routers()).mapToObj(i -> "r" + i).toList();
+        this.cut = new boolean[plan.routers()][plan.routers()];
+        names.forEach(name -> routers.add(new Router(name)));
+    }
+
+    // ---- the run
+
+    /** What broke, a line each; empty where all held. */
+    List<String> run() {
+        IntStream.range(0, plan.nodes()).forEach(i -> restart("n" + i));
+        routers.forEach(Router::start);
+        troubled = plan.faults();
+        for (int i = 0; i < plan.cutOff(); i++) {
+            for (int j = plan.cutOff(); j < plan.routers(); j++) {
+                cut[i][j] = true;
+                cut[j][i] = true;
+            }
+        }
+        after(Duration.ofMillis(200), this::nextTrouble);
+        boolean calm = false;
+        while (broken.isEmpty() && events.peek().at().compareTo(plan.length()) < 0) {
+            Event next = events.poll();
+            now = next.at();
+            if (!calm && now.compareTo(plan.length().minus(CALM)) > 0) {
+                calm = true;
+                calm();
+            }
+            next.what().run();
+        }
+        if (broken.isEmpty() && plan.cutOff() == 0) {
+            settled();
+        }
+        return broken;
+    }
+
+    Use use() {
+        double budget = 0;
+        for (NodeKey key : nodes.values()) {
+            for (Duration at = startedAt.get(key); at.compareTo(now) < 0; at = at.plus(plan.leases().window())) {
+                budget += budget(at.minus(startedAt.get(key))).now();
+            }
+        }
+        return new Use(used, budget, won, sends, carriesAt);
+    }
+
+    /** Once all is well for a while each stripe has a keeper, and what can be leased is. */
+    private void settled() {
+        for (int i = 0; i < plan.stripes(); i++) {
+            int stripe = i;
+            if (routers.stream().noneMatch(one -> one.stripes.get(stripe).keeper().grants(one.clock()))) {
+                broken.add("stripe " + i + " has no keeper " + CALM.toMillis() + " ms after the last trouble");
+            }
+        }
+        double leased = routers.stream().flatMap(one -> one.stripes.stream().flatMap(stripe -> stripe.leased(one.clock())
+                .entrySet().stream())).filter(entry -> nodes.containsValue(entry.getKey()))
+                .mapToDouble(Map.Entry::getValue).sum();
+        double least = plan.nodes() * plan.leases().leasable(FIRST_BUDGET) / 2;
+        if (leased < least) {
+            broken.add(String.format("leases of %.3f are held after the calm, of at least %.3f that are wanted", leased,
+                    least));
+        }
+    }
+
+    private void calm() {
+        troubled = false;
+        for (boolean[] row : cut) {
+            if (plan.cutOff() == 0) {
+                Arrays.fill(row, false);
+            }
+        }
+        routers.forEach(router -> {
+            if (router.stopped) {
+                router.wake();
+            }
+            if (router.crashed) {
+                router.start();
+            }
+        });
+    }
+
+    private void after(Duration wait, Runnable what) {
+        events.add(new Event(now.plus(wait), eventCount++, what));
+    }
+
+    // ---- the network
+
+    private Duration way() {
+        double kind = chance.nextDouble();
+        double most = !troubled || kind < 0.9 ? 2e6 : kind < 0.98 ? 3e8 : 4e9;
+        return Duration.ofNanos((long) (5e5 + chance.nextDouble() * most));
+    }
+
+    private void message(Router from, Router to, Runnable arrives) {
+        int copies = troubled ? chance.nextDouble() < 0.05 ? 0 : chance.nextDouble() < 0.05 ? 2 : 1 : 1;
+        for (int i = 0; i < copies && !cut[routers.indexOf(from)][routers.indexOf(to)]; i++) {
+            after(way(), () -> {
+                if (to.stripes != null && !to.crashed) {
+                    to.run(arrives);
+                }
+            });
+        }
+    }
+
+    /** An answer is for the process that asked. */
+    private void message(Router from, Router to, Stripe asker, Runnable arrives) {
+        message(from, to, () -> {
+            if (to.stripes.contains(asker)) {
+                arrives.run();
+            }
+        });
+    }
+
+    private int stripeOf(String node) {
+        return Math.floorMod(node.hashCode(), plan.stripes());
+    }
+
+    // ---- troubles
+
+    private void nextTrouble() {
+        if (!troubled) {
+            return;
+        }
+        after(upTo(Duration.ofMillis(1200)), this::nextTrouble);
+        Router router = routers.get(chance.nextInt(routers.size()));
+        switch (chance.nextInt(8)) {
+            case 0 -> crash(router, upTo(Duration.ofMillis(1500)));
+            case 1 -> keepers().forEach(keeper -> crash(keeper, upTo(Duration.ofMillis(500))));
+            case 2 -> halt(router, upTo(Duration.ofSeconds(4)));
+            case 3 -> keepers().forEach(keeper -> halt(keeper, upTo(Duration.ofSeconds(4))));
+            case 4 -> cutOff(chance.nextInt(3), upTo(Duration.ofSeconds(5)));
+            case 5 -> cutOff(chance.nextInt(3), upTo(Duration.ofSeconds(2)));
+            case 6 -> restart("n" + chance.nextInt(plan.nodes()));
+            default -> {
+                // All at once, or so many that a majority of voters has no memory.
+                double share = chance.nextDouble() < 0.3 ? 1 : 0.5;
+                routers.stream().filter(one -> chance.nextDouble() < share)
+                        .forEach(one -> crash(one, upTo(Duration.ofMillis(100))));
+            }
+        }
+    }
+
+    private List<Router> keepers() {
+        return routers.stream().filter(one -> !one.crashed && !one.stopped && one.stripes.stream()
+                .anyMatch(stripe -> stripe.office().inOffice(one.clock()))).toList();
+    }
+
+    private Duration upTo(Duration most) {
+        return Duration.ofNanos((long) (chance.nextDouble() * most.toNanos()));
+    }
+
+    private void crash(Router router, Duration away) {
+        if (!router.crashed) {
+            router.crash();
+            after(away, () -> {
+                if (router.crashed) {
+                    router.start();
+                }
+            });
+        }
+    }
+
+    private void halt(Router router, Duration away) {
+        if (!router.crashed && !router.stopped) {
+            router.stop();
+            after(away, () -> {
+                if (router.stopped) {
+                    router.wake();
+                }
+            });
+        }
+    }
+
+    /** Some are cut off from the others, both ways, or heard and not hearing, or the other way round. */
+    private void cutOff(int how, Duration away) {
+        boolean[] aside = new boolean[plan.routers()];
+        for (int i = 0; i < aside.length; i++) {
+            aside[i] = chance.nextDouble() < 0.4;
+        }
+        set(aside, how, true);
+        after(away, () -> set(aside, how, false));
+    }
+
+    private void set(boolean[] aside, int how, boolean to) {
+        for (int i = 0; i < aside.length; i++) {
+            for (int j = 0; j < aside.length; j++) {
+                if (aside[i] && !aside[j]) {
+                    cut[i][j] = how != 1 ? to : cut[i][j];
+                    cut[j][i] = how != 2 ? to : cut[j][i];
+                }
+            }
+        }
+    }
+
+    /** A node starts (again), cold; routers hear of it at different times. */
+    private void restart(String node) {
+        NodeKey key = new NodeKey(node, ++incarnations);
+        nodes.put(node, key);
+        startedAt.put(key, now);
+        sent.put(key, new ArrayDeque<>());
+        for (Router router : routers) {
+            after(upTo(Duration.ofMillis(200)), () -> {
+                if (router.stripes != null) {
+                    router.run(() -> router.hears(key));
+                }
+            });
+        }
+    }
+
+    // ---- the referee
+
+    /** As of a window's start, for one that ends at this age of the node. */
+    private Budget budget(Duration age) {
+        double risen = Math.max(0, Math.min(1, (double) age.minus(plan.leases().window()).toNanos() / RAMP.toNanos()));
+        return new Budget(FIRST_BUDGET, FIRST_BUDGET * (1 + (RISES_TO - 1) * risen));
+    }
+
+    private void sent(NodeKey key, double amount) {
+        sends++;
+        used += amount;
+        Deque<Map.Entry<Duration, Double>> all = sent.get(key);
+        all.add(Map.entry(now, amount));
+        while (all.peek().getKey().compareTo(now.minus(plan.leases().window())) < 0) {
+            all.poll();
+        }
+        double sum = all.stream().mapToDouble(Map.Entry::getValue).sum();
+        double limit = budget(now.minus(startedAt.get(key))).now();
+        measured = Math.max(measured, sum / limit);
+        if (carriesAt == null && sum > limit / 2) {
+            carriesAt = now.minus(startedAt.get(key));
+        }
+        if (sum > limit + 1e-6) {
+            broken.add(String.format("at %d ms node %s was sent %.4f within %d ms, over its budget of %.4f",
+                    now.toMillis(), key, sum, plan.leases().window().toMillis(), limit));
+        }
+    }
+
+    /** The largest share of a budget that was sent in any window. */
+    double fullest() {
+        return measured;
+    }
+
+    /** Also of those that are stopped: by their clocks their office is over, or it is not. */
+    private void oneKeeper(int stripe) {
+        List<String> in = routers.stream().filter(one -> !one.crashed && one.stripes.get(stripe).office()
+                .inOffice(one.clock())).map(one -> one.name).toList();
+        if (in.size() > 1) {
+            broken.add("at " + now.toMillis() + " ms " + in + " are all in office for stripe " + stripe);
+        }
+    }
+}
--- a/src/main/java/postbeam/rig/RecutsTrial.java
+++ b/src/main/java/postbeam/rig/RecutsTrial.java
@@ -22,6 +22,11 @@
         return Stream.of(PlantedSlicing.Defect.values()).map(RecutsTrial::spelt).toList();
     }
 
+    @Override
+    public boolean jumps() {
+        return true;
+    }
+
     static String spelt(PlantedSlicing.Defect defect) {
         return defect.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/src/main/java/postbeam/rig/Trial.java
+++ b/src/main/java/postbeam/rig/Trial.java
@@ -12,6 +12,11 @@
     /** Names of the defects that can be planted, each of which it must catch. */
     List<String> defects();
 
+    /** Whether it runs on the jumping clock: then seeds run on all cores. */
+    default boolean jumps() {
+        return false;
+    }
+
     /** Runs one seed with a defect or, where that is null, without. */
     Result run(long seed, String defect);
 
--- a/src/main/java/postbeam/shared/Stripe.java
+++ b/src/main/java/postbeam/shared/Stripe.java
@@ -31,6 +31,7 @@
     private final LeaseTerms terms;
     private final Office office;
     private final Keeper keeper;
+    private final Duration sendsFrom;
     private final Map<NodeKey, Held> nodes = new LinkedHashMap<>();
     /** Of leases: goes on over all nodes, so that none is used twice when a node is forgotten and comes again. */
     private long number;
@@ -40,6 +41,7 @@
         this.self = self;
         this.fleet = fleet;
         this.terms = terms;
+        this.sendsFrom = now.plus(terms.window()).plus(terms.drift());
         this.office = office(stripe, self, fleet, offices, now, chance);
         this.keeper = keeper(office, terms);
     }
@@ -71,6 +73,15 @@
         return held == null ? 0 : held.leases.room(now, budget.now());
     }
 
+    /**
+     * Guards against a process that came back under its name and does not know what it sent just before: it has its
+     * part of the reserve once for each window, not once for each start. It hurts after any start: for a window cold
+     * nodes get nothing from this router.
+     */
+    protected boolean maySend(Duration now) {
+        return now.compareTo(sendsFrom) >= 0;
+    }
+
     public void out(NodeKey node, double amount) {
         Held held = nodes.get(node);
         if (held != null) {
@@ -78,8 +89,11 @@
         }
     }
 
-    /** Null where too many are held. */
+    /** Null where it may not send yet, or too many are held. */
     private Held held(Duration now, NodeKey node, Budget budget) {
+        if (!maySend(now)) {
+            return null;
+        }
         Held held = nodes.get(node);
         if (held == null) {
             if (nodes.size() >= NODES_MOST) {
--- /dev/null
+++ b/src/test/java/postbeam/rig/BoundsTrialTest.java
@@ -0,0 +1,31 @@
+package postbeam.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+class BoundsTrialTest {
+    private final BoundsTrial trial = new BoundsTrial();
+
+    @Test
+    void allBoundsHoldWhateverFails() {
+        assertEquals(List.of(), LongStream.rangeClosed(1, 80).parallel()
+                .mapToObj(seed -> trial.run(seed, null).broken()).flatMap(List::stream).toList());
+    }
+
+    @Test
+    void aSeedRunsTheSameAgain() {
+        assertEquals(trial.run(7, null), trial.run(7, null));
+    }
+
+    @Test
+    void eachPlantedDefectIsCaught() {
+        for (String defect : trial.defects()) {
+            assertTrue(LongStream.rangeClosed(1, 1000).parallel()
+                    .anyMatch(seed -> !trial.run(seed, defect).broken().isEmpty()), defect);
+        }
+    }
+}
