Routers ask each other over HTTP: keepers and leases in serve, where it is switched on

The section 'together' of our own settings names the routers and their terms. Each router asks what its stripes have to ask over the JDK's client, at the other's door for clients, in JSON with bounds; no query's thread waits for it, and with the section off none of it is loaded.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -14,6 +14,8 @@
 import java.util.Map;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
+import postbeam.errors.ExplainedException;
+import postbeam.router.Beside;
 import postbeam.router.Logs;
 import postbeam.layouts.LayoutsCommand;
 import postbeam.rig.TrialCommand;
@@ -23,6 +25,8 @@
 import postbeam.setup.OwnSettings;
 import postbeam.setup.Startup;
 import postbeam.slices.Slicing;
+import postbeam.together.Together;
+import postbeam.together.TogetherForm;
 import sun.misc.Signal;
 
 /** Command line entry: each way of running postbeam is a sub-command. */
@@ -145,8 +149,17 @@
             return new Router(startup);
         }
         Info own = OwnSettings.read(Path.of(settings));
-        return Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))
+        Router router = Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))
                 ? new Router(startup, new Slicing(), own.needed("layouts.follow.service")) : new Router(startup);
+        return Boolean.TRUE.equals(own.flag("together.enabled")) ? router.with(together(own)) : router;
+    }
+
+    private static Beside together(Info own) throws IOException {
+        try {
+            return new Together(TogetherForm.place(own));
+        } catch (ExplainedException e) {
+            throw new IOException(e.getMessage(), e);
+        }
     }
 
     private static int serve(String config, String settings) throws InterruptedException {
--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,7 @@
 import org.xnio.channels.Channels;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
+import postbeam.errors.ExplainedException;
 import postbeam.router.Asked;
 import postbeam.router.OpenQuery;
 import postbeam.router.Step;
@@ -86,7 +88,14 @@
         boolean ready();
     }
 
+    /** Answers a request that is no query, on a thread of the door's own; what can't be answered is told in a line. */
+    public interface Form {
+        byte[] answer(byte[] body) throws IOException, ExplainedException;
+    }
+
     private final Queries queries;
+    /** By path; empty where our own settings switch nothing on. */
+    private Map<String, Form> forms = Map.of();
     private final Map<String, Duration> usualWaits;
     private final Set<String> owners;
     private final int shards;
@@ -125,6 +134,13 @@
         http.setRootHandler(this);
     }
 
+    /** Adds a form; to be called before it starts. */
+    public void form(String path, Form form) {
+        Map<String, Form> more = new LinkedHashMap<>(forms);
+        more.put(path, form);
+        forms = more;
+    }
+
     /** Starts to listen; an IOException tells why it can't. */
     public void start() throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
@@ -245,6 +261,11 @@
             say(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
             return;
         }
+        Form form = forms.get(path);
+        if (form != null) {
+            read(exchange, exchange.getRequestChannel(), new ByteArrayOutputStream(), body -> answer(exchange, form, body));
+            return;
+        }
         int end = path.indexOf('/', 1);
         String vertical = path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
         if (!usualWaits.containsKey(vertical)) {
@@ -283,6 +304,29 @@
         }
     }
 
+    private void answer(HttpServerExchange exchange, Form form, byte[] body) {
+        begin(exchange);
+        exchange.dispatch(threads, () -> {
+            byte[] answer = null;
+            String wrong = "";
+            try {
+                answer = form.answer(body);
+            } catch (IOException | ExplainedException e) {
+                wrong = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            }
+            byte[] bytes = answer;
+            String why = wrong;
+            exchange.dispatch(exchange.getIoThread(), () -> {
+                if (bytes == null) {
+                    say(exchange, 400, why);
+                } else {
+                    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                    exchange.getResponseSender().send(ByteBuffer.wrap(bytes));
+                }
+            });
+        });
+    }
+
     private static boolean lengthFits(HttpServerExchange exchange) {
         try {
             return exchange.getRequestContentLength() <= LONGEST_BODY;
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -69,6 +69,8 @@
     private final boolean sliced;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
+    /** Null where nothing runs beside it. */
+    private Beside beside;
     private volatile boolean listed;
     private volatile boolean laidOut;
     private volatile boolean ready;
@@ -168,6 +170,13 @@
         ready = listed;
     }
 
+    /** What runs beside it; to be called before it starts. */
+    public Router with(Beside other) {
+        beside = other;
+        other.forms(clients);
+        return this;
+    }
+
     /** Starts to serve; an IOException says why it can't listen. */
     public void start() throws IOException {
         thread("ticks", this::ticks);
@@ -181,6 +190,9 @@
         rehearsalDoor.rehearse(rehearsal::request, REHEARSED, REHEARSAL_MOST);
         rehearsalDoor.stop();
         clients.start();
+        if (beside != null) {
+            beside.start();
+        }
         LOG.log(System.Logger.Level.INFO, started);
     }
 
@@ -309,6 +321,9 @@
         while (System.nanoTime() - asked < leaveTimes.servesOn().toNanos() && !on(clients::unused)) {
             Thread.sleep(LOOK.toMillis());
         }
+        if (beside != null) {
+            beside.stop();
+        }
         clients.close();
         // The last look is taken where requests are read, so none can be begun after it.
         while (!on(clients::idle)) {
--- a/src/test/java/postbeam/setup/OwnSettingsTest.java
+++ b/src/test/java/postbeam/setup/OwnSettingsTest.java
@@ -33,6 +33,7 @@
         Info own = OwnSettings.read(Path.of("deploy/postbeam.json5"));
         assertEquals(false, own.flag("layouts.follow.enabled"));
         assertEquals(false, own.flag("layouts.serve.enabled"));
+        assertEquals(false, own.flag("together.enabled"));
         assertEquals(true, Files.exists(Path.of("deploy/postbeam.json5")));
     }
 }
