--- a/src/test/java/postbeam/setup/OwnSettingsTest.java
+++ b/src/test/java/postbeam/setup/OwnSettingsTest.java
@@ -34,6 +34,7 @@
         assertEquals(false, own.flag("layouts.follow.enabled"));
         assertEquals(false, own.flag("layouts.serve.enabled"));
         assertEquals(false, own.flag("pages.enabled"));
+        assertEquals(false, own.flag("together.enabled"));
         assertEquals(true, Files.exists(Path.of("deploy/postbeam.json5")));
     }
 }
