--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -14,15 +14,20 @@
 import java.util.Map;
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
+import postbeam.errors.ExplainedException;
+import postbeam.router.Beside;
 import postbeam.router.Logs;
 import postbeam.layouts.LayoutsCommand;
 import postbeam.rig.TrialCommand;
 import postbeam.rig.TryOut;
+import postbeam.router.Paging;
 import postbeam.router.Router;
 import postbeam.setup.Info;
 import postbeam.setup.OwnSettings;
 import postbeam.setup.Startup;
 import postbeam.slices.Slicing;
+import postbeam.together.Together;
+import postbeam.together.TogetherForm;
 import sun.misc.Signal;
 
 /** Command line entry: each way of running postbeam is a sub-command. */
@@ -145,8 +150,35 @@
             return new Router(startup);
         }
         Info own = OwnSettings.read(Path.of(settings));
-        return Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))
-                ? new Router(startup, new Slicing(), own.needed("layouts.follow.service")) : new Router(startup);
+        boolean follows = Boolean.TRUE.equals(own.flag("layouts.follow.enabled"));
+        boolean pages = Boolean.TRUE.equals(own.flag("pages.enabled"));
+        if (pages && !follows) {
+            throw new IOException("pages.enabled needs layouts.follow.enabled");
+        }
+        String service = follows ? own.needed("layouts.follow.service") : null;
+        Router router = pages ? Paged.router(startup, service, own)
+                : follows ? new Router(startup, new Slicing(), service) : new Router(startup);
+        return Boolean.TRUE.equals(own.flag("together.enabled")) ? router.with(together(own)) : router;
+    }
+
+    /** Apart, so that nothing of pages is loaded where they are off. */
+    private static final class Paged {
+        static Router router(Startup startup, String service, Info own) throws IOException {
+            try {
+                return new Router(startup, new Slicing(), service, new Paging(own.needed("pages.key"),
+                        own.text("pages.oldKey"), own.atLeast("pages.rows", 1)));
+            } catch (ExplainedException e) {
+                throw new IOException(e.getMessage(), e);
+            }
+        }
+    }
+
+    private static Beside together(Info own) throws IOException {
+        try {
+            return new Together(TogetherForm.place(own));
+        } catch (ExplainedException e) {
+            throw new IOException(e.getMessage(), e);
+        }
     }
 
     private static int serve(String config, String settings) throws InterruptedException {
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -22,6 +22,7 @@
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
 import postbeam.layouts.LayoutWatch;
+import postbeam.pages.Ask;
 import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
@@ -66,8 +67,12 @@
     private final String started;
     private final LeaveTimes leaveTimes;
     private final boolean sliced;
+    /** Null where no pages are given. */
+    private final Paging paging;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
+    /** Null where nothing runs beside it. */
+    private Beside beside;
     private volatile boolean listed;
     private volatile boolean laidOut;
     private volatile boolean ready;
@@ -78,6 +83,11 @@
 
     /** Where slices move: what makes of the layout what it decides, and where the layout is told. */
     public Router(Startup startup, Slicing slicing, String layouts) throws IOException {
+        this(startup, slicing, layouts, null);
+    }
+
+    /** Where pages are given too: the paging, else null. It needs slices. */
+    public Router(Startup startup, Slicing slicing, String layouts, Paging paging) throws IOException {
         check(startup);
         Info settings = startup.settings;
         String listen = startup.address("listen");
@@ -96,7 +106,8 @@
         int rehearsedShards = settings.atLeast("domain.shards", 1);
         Set<String> owners = Assembly.customers(settings).keySet();
         int partsACall = settings.atLeast("domain.partsACall", 1);
-        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing);
+        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing, paging);
+        this.paging = paging;
         sliced = slicing != null;
         layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut) : null;
         cells = settings.atLeast("domain.cells", 1);
@@ -110,6 +121,9 @@
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 owners, shards, clientsMost);
+        if (paging != null) {
+            clients.pages(paging.rowsMost());
+        }
         rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin, null),
                 settings.text("zone"), cells, List.copyOf(usualWaits.keySet()), owners.stream().findFirst().orElse(null),
                 rehearsedShards);
@@ -166,6 +180,13 @@
         ready = listed;
     }
 
+    /** What runs beside it; to be called before it starts. */
+    public Router with(Beside other) {
+        beside = other;
+        other.forms(clients);
+        return this;
+    }
+
     /** Starts to serve; an IOException says why it can't listen. */
     public void start() throws IOException {
         thread("ticks", this::ticks);
@@ -179,6 +200,9 @@
         rehearsalDoor.rehearse(rehearsal::request, REHEARSED, REHEARSAL_MOST);
         rehearsalDoor.stop();
         clients.start();
+        if (beside != null) {
+            beside.start();
+        }
         LOG.log(System.Logger.Level.INFO, started);
     }
 
@@ -274,11 +298,31 @@
 
     @Override
     public Step serve(OpenQuery q) throws InterruptedException {
+        Step last = served(q);
+        return q.paged != null && last instanceof Step.Answer answer
+                ? paging.given(q, answer, asks -> further(q, asks)) : last;
+    }
+
+    /** Asks again for the page; null where that may not be. */
+    private Paged further(OpenQuery first, List<Ask> asks) throws InterruptedException {
+        OpenQuery q = decisions.takeFurther(first, asks);
+        if (q == null) {
+            return null;
+        }
+        served(q);
+        return q.paged;
+    }
+
+    /** Serves the query until its last step. */
+    private Step served(OpenQuery q) throws InterruptedException {
         while (true) {
             Step step = decisions.pick(q);
             if (step instanceof Step.Send || step instanceof Step.GiveUp) {
                 carryOut(step);
             } else {
+                if (q.paged != null) {
+                    decisions.cameFor(q);
+                }
                 return step;
             }
         }
@@ -307,6 +351,9 @@
         while (System.nanoTime() - asked < leaveTimes.servesOn().toNanos() && !on(clients::unused)) {
             Thread.sleep(LOOK.toMillis());
         }
+        if (beside != null) {
+            beside.stop();
+        }
         clients.close();
         // The last look is taken where requests are read, so none can be begun after it.
         while (!on(clients::idle)) {
