Keepers killed, stopped past their office and woken, cut off: the sum taken stays within the budget

Five routers as processes share a cold node's budget through a keeper. The test takes as much as each of them gives, at its own door, and sums what surely lies in one window: begun after its start and ended before its end, so that what it finds is a violation however busy the machine was. Cases: the keeper killed while leases are out and back under its name, twice; the keeper stopped past its office and woken while a successor grants; two of five cut off.

Planted: routers that each know of none but themselves, so that each is its own majority, pass the budget and are caught in seconds. A try that failed: with the largest call at half of a router's part under way only one router is drawn to share a node, so most took nothing; the terms of the test now have room for all five.

--- /dev/null
+++ b/src/test/java/postbeam/rig/TogetherKeepersIT.java
@@ -0,0 +1,164 @@
+package postbeam.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Routers as processes that lease a cold node's budget of a keeper: the sum of what all take stays within it. */
+@Timeout(value = 150, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class TogetherKeepersIT {
+    private static final int ROUTERS = 5;
+    private static final double BUDGET = 0.4;
+    private static final double WORK = 0.005;
+    private static final Duration WINDOW = Duration.ofSeconds(1);
+
+    private final Takes takes = new Takes();
+    private final AtomicIntegerArray byRouter = new AtomicIntegerArray(ROUTERS);
+    private final List<Thread> askers = new ArrayList<>();
+    private volatile boolean over;
+    private ProcessFleet fleet;
+
+    private void stage(boolean alone) throws Exception {
+        fleet = new ProcessFleet(new ProcessFleet.Size(1, ROUTERS, 4, false, ProcessFleet.PATIENT,
+                (all, file, text) -> file.endsWith(".json5") ? own(all, file.replace(".json5", ""), alone) : text), 1);
+        for (int i = 0; i < ROUTERS; i++) {
+            int router = i;
+            Thread asker = new Thread(() -> take(router), "takes");
+            asker.setDaemon(true);
+            asker.start();
+            askers.add(asker);
+        }
+    }
+
+    private static String own(ProcessFleet all, String name, boolean alone) throws IOException {
+        StringBuilder routers = new StringBuilder();
+        for (int i = 0; i < ROUTERS; i++) {
+            String other = "r" + i;
+            if (!alone || other.equals(name)) {
+                routers.append("{name: \"").append(other).append("\", address: \"").append(other.equals(name)
+                        ? all.address(name) : all.way(name, other).address()).append("\"},");
+            }
+        }
+        return "{together: {enabled: true, name: \"" + name + "\", routers: [" + routers + "], shares: "
+                + (alone ? 1 : ROUTERS) + ", stripes: 1, leaseMs: 600, windowMs: " + WINDOW.toMillis() + ", driftMs: 30, "
+                + "officeMs: 900, longestMs: 1200, reserved: 0.25, underWay: 0.1, callMost: 0.008, firstWork: " + BUDGET
+                + ", risesTo: 1, rampMs: 60000}}";
+    }
+
+    /** As much as it gets. */
+    private void take(int router) {
+        while (!over) {
+            try {
+                Duration begun = fleet.now();
+                if (fleet.post("r" + router, "/together/v1/take", "{\"node\":\"n0\",\"incarnation\":7,\"work\":" + WORK
+                        + "}").contains("\"taken\":true")) {
+                    takes.taken(begun, fleet.now(), WORK);
+                    byRouter.incrementAndGet(router);
+                }
+                Thread.sleep(5);
+            } catch (IOException e) {
+                // It is down or stopped.
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    @AfterEach
+    void giveBack() throws Exception {
+        over = true;
+        for (Thread asker : askers) {
+            asker.interrupt();
+            asker.join();
+        }
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    /** Waits for one that grants, other than this; null where it can be any. */
+    private String keeper(String notThis) throws Exception {
+        String[] found = new String[1];
+        fleet.until("a keeper grants", () -> {
+            for (int i = 0; i < ROUTERS; i++) {
+                String name = "r" + i;
+                if (!name.equals(notThis) && fleet.post(name, "/together/v1/state", "{}").contains("\"grants\":true")) {
+                    found[0] = name;
+                    return true;
+                }
+            }
+            return false;
+        });
+        return found[0];
+    }
+
+    /** Waits until a router has taken some more. */
+    private void takes(int... routers) throws Exception {
+        for (int router : routers) {
+            AtomicInteger before = new AtomicInteger(byRouter.get(router));
+            fleet.until("r" + router + " takes", () -> byRouter.get(router) > before.get() + 3);
+        }
+    }
+
+    private void within() {
+        double most = takes.most(WINDOW);
+        System.out.println(takes.count() + " takes, at most " + most + " of " + BUDGET + " in a window");
+        assertTrue(most <= BUDGET + 1e-9, "taken in a window: " + most);
+    }
+
+    @Test
+    void aKeeperIsKilledAfterAGrantAndIsBackUnderItsName() throws Exception {
+        stage(false);
+        String first = keeper(null);
+        takes(0, 1, 2, 3, 4);
+        fleet.kill(first);
+        String second = keeper(first);
+        takes(Integer.parseInt(second.substring(1)));
+        fleet.start(first);
+        takes(Integer.parseInt(first.substring(1)));
+        fleet.kill(second);
+        keeper(second);
+        takes(Integer.parseInt(first.substring(1)));
+        within();
+    }
+
+    @Test
+    void aKeeperStoppedPastItsOfficeWakesWhileASuccessorGrantsAndTwoAreCutOff() throws Exception {
+        stage(false);
+        String first = keeper(null);
+        takes(0, 1, 2, 3, 4);
+        fleet.stop(first);
+        String second = keeper(first);
+        takes(Integer.parseInt(second.substring(1)));
+        fleet.wake(first);
+        takes(0, 1, 2, 3, 4);
+        for (String one : List.of("r0", "r1")) {
+            for (String other : List.of("r2", "r3", "r4")) {
+                fleet.way(one, other).both(Relay.Fault.CUT, Duration.ZERO);
+                fleet.way(other, one).set(Relay.Way.BACK, Relay.Fault.CUT, Duration.ZERO);
+            }
+        }
+        // The cut ones have their reserve, the others go on.
+        takes(0, 1, 2, 3, 4);
+        fleet.healAll();
+        takes(0, 1, 2, 3, 4);
+        within();
+    }
+
+    @Test
+    void routersThatEachThinkTheyAreAloneAreCaught() throws Exception {
+        stage(true);
+        takes(0, 1, 2, 3, 4, 0, 1, 2, 3, 4);
+        fleet.until("the budget is passed", () -> takes.most(WINDOW) > BUDGET + WORK);
+        assertEquals(5, askers.size());
+    }
+}
