--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -15,6 +15,7 @@
 import postbeam.benchlink.Door;
 import postbeam.benchlink.MalformedLine;
 import postbeam.errors.ExplainedException;
+import postbeam.router.Beside;
 import postbeam.router.Logs;
 import postbeam.layouts.LayoutsCommand;
 import postbeam.rig.TrialCommand;
@@ -25,6 +26,8 @@
 import postbeam.setup.OwnSettings;
 import postbeam.setup.Startup;
 import postbeam.slices.Slicing;
+import postbeam.together.Together;
+import postbeam.together.TogetherForm;
 import sun.misc.Signal;
 
 /** Command line entry: each way of running postbeam is a sub-command. */
@@ -147,15 +150,15 @@
             return new Router(startup);
         }
         Info own = OwnSettings.read(Path.of(settings));
+        boolean follows = Boolean.TRUE.equals(own.flag("layouts.follow.enabled"));
         boolean pages = Boolean.TRUE.equals(own.flag("pages.enabled"));
-        if (!Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))) {
-            if (pages) {
-                throw new IOException("pages.enabled needs layouts.follow.enabled");
-            }
-            return new Router(startup);
+        if (pages && !follows) {
+            throw new IOException("pages.enabled needs layouts.follow.enabled");
         }
-        String service = own.needed("layouts.follow.service");
-        return pages ? Paged.router(startup, service, own) : new Router(startup, new Slicing(), service);
+        String service = follows ? own.needed("layouts.follow.service") : null;
+        Router router = pages ? Paged.router(startup, service, own)
+                : follows ? new Router(startup, new Slicing(), service) : new Router(startup);
+        return Boolean.TRUE.equals(own.flag("together.enabled")) ? router.with(together(own)) : router;
     }
 
     /** Apart, so that nothing of pages is loaded where they are off. */
@@ -170,6 +173,14 @@
         }
     }
 
+    private static Beside together(Info own) throws IOException {
+        try {
+            return new Together(TogetherForm.place(own));
+        } catch (ExplainedException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
     private static int serve(String config, String settings) throws InterruptedException {
         Logs.bound();
         Router router;
--- a/src/main/java/postbeam/rig/PagesTrial.java
+++ b/src/main/java/postbeam/rig/PagesTrial.java
@@ -6,6 +6,11 @@
 
 /** Pages read through changing routers while slices are re-cut and ranges go missing, against a plain sort; no sockets. */
 final class PagesTrial implements Trial {
+    @Override
+    public boolean jumps() {
+        return true;
+    }
+
     @Override
     public String name() {
         return "pages";
--- a/src/main/java/postbeam/rig/ProcessFleet.java
+++ b/src/main/java/postbeam/rig/ProcessFleet.java
@@ -19,6 +19,9 @@
 import java.util.concurrent.Callable;
 import java.util.function.BiFunction;
 import java.util.stream.IntStream;
+import org.apache.commons.rng.simple.RandomSource;
+import postbeam.discovery.LongPoll;
+import postbeam.layouts.LayoutWatch;
 import postbeam.setup.Startup;
 import postbeam.slices.Holder;
 import postbeam.slices.KeyRange;
@@ -40,6 +43,9 @@
     private static final Duration LONG = Duration.ofSeconds(30);
     /** For the ways of messages on a busy machine, delays by relays among them. */
     private static final Duration SLACK = Duration.ofSeconds(1);
+    /** Clients end by themselves at last; and answers that show that a router serves. */
+    private static final Duration LOAD_MOST = Duration.ofMinutes(4);
+    private static final int SERVED = 20;
     private static final List<String> JAVA = List.of("java", "-Xmx48m", "-Xss256k", "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
 
@@ -75,6 +81,9 @@
     private final List<String> askers = new ArrayList<>();
     private final Testimony testimony = new Testimony();
     private final Thread ending = new Thread(this::killAll, "end of a fleet");
+    private LongPoll<Layout> watch;
+    private Clients clients;
+    private volatile Layout layout;
     private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     ProcessFleet(Size size, long seed) throws IOException, InterruptedException {
@@ -142,7 +151,7 @@
 
     // ---- processes
 
-    private static List<String> built(String... words) {
+    static List<String> built(String... words) {
         List<String> command = new ArrayList<>(JAVA);
         command.addAll(List.of("-jar", "target/postbeam.jar"));
         command.addAll(List.of(words));
@@ -315,9 +324,29 @@
         child.process.getOutputStream().flush();
     }
 
-    /** All that a process wrote in this life. */
-    String output(String name) throws IOException {
-        return Files.readString(children.get(name).output());
+    /** A file of the fleet's folder, which goes with it. */
+    Path file(String name) {
+        return folder.resolve(name);
+    }
+
+    Path besides(String name, String text) throws IOException {
+        return Files.writeString(file(name), text);
+    }
+
+    String get(String name, String path) throws IOException, InterruptedException {
+        return ask(name, path, null);
+    }
+
+    String post(String name, String path, String body) throws IOException, InterruptedException {
+        return ask(name, path, body);
+    }
+
+    /** The answer's text, an error's too. */
+    private String ask(String name, String path, String body) throws IOException, InterruptedException {
+        HttpRequest.Builder asked = HttpRequest.newBuilder(URI.create("http://" + addresses.get(name) + path))
+                .timeout(Duration.ofSeconds(5));
+        return http.send((body == null ? asked : asked.POST(HttpRequest.BodyPublishers.ofString(body))).build(),
+                HttpResponse.BodyHandlers.ofString()).body();
     }
 
     // ---- discovery
@@ -330,6 +359,70 @@
         testimony.add(now, to -> to.told(now, node, !health.equals("up")));
     }
 
+    /** The layout last told to the clients; null where slices don't move. */
+    Layout layout() {
+        return layout;
+    }
+
+    /** Steady clients; where slices move they know the layout as it is told. */
+    Clients clients(double rate, long seed) throws IOException, InterruptedException {
+        Load load = new Load(this, size.sliced(), size.shards(), RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+        if (size.sliced()) {
+            // At the start: routers may count by a version before it is told here.
+            watch = LayoutWatch.of(addresses.get(LAYOUTS), next -> {
+                testimony.add(Duration.ZERO, to -> to.layout(next));
+                layout = next;
+                load.known(next);
+            });
+            Thread watching = new Thread(watch, "layouts of a fleet");
+            watching.setDaemon(true);
+            watching.start();
+            until("the layout is told", () -> layout != null);
+        }
+        clients = new Clients(load, rate);
+        return clients;
+    }
+
+    /** Clients that ask until they are stopped. */
+    final class Clients {
+        final Load load;
+        private final Thread thread;
+
+        private Clients(Load load, double rate) {
+            this.load = load;
+            thread = new Thread(() -> {
+                try {
+                    load.run(rate, LOAD_MOST);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "clients of a fleet");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        /** Waits until each router has given some more answers. */
+        void allServe() throws IOException, InterruptedException {
+            for (int i = 0; i < size.routers(); i++) {
+                int router = i;
+                int before = load.served(i);
+                until("r" + i + " serves", () -> load.served(router) >= before + SERVED);
+            }
+        }
+
+        void stop() throws InterruptedException {
+            load.stop();
+            thread.join();
+        }
+
+        /** Stops them; which rules were broken by all that was seen. */
+        List<String> broken() throws IOException, InterruptedException {
+            stop();
+            Referee judged = judged();
+            return judged.runs() < SERVED ? List.of("nothing was run") : judged.broken();
+        }
+    }
+
     /** What the referee takes for told, though nobody is. */
     void pretendTold(String node) {
         Duration now = now();
@@ -397,8 +490,14 @@
 
     @Override
     public void close() throws IOException {
+        if (watch != null) {
+            watch.stop();
+        }
         killAll();
         try {
+            if (clients != null) {
+                clients.stop();
+            }
             for (Child child : children.values()) {
                 if (child.process != null) {
                     child.process.waitFor();
--- a/src/test/java/postbeam/rig/TogetherIT.java
+++ b/src/test/java/postbeam/rig/TogetherIT.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BiFunction;
-import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -17,66 +16,33 @@
     private static final BiFunction<String, String, String> AS_IT_IS = (name, config) -> config;
     /** Queries a second. */
     private static final double RATE = 100;
-    private static final Duration LONGEST = Duration.ofSeconds(90);
     private static final int SHARDS = 8;
 
     private ProcessFleet fleet;
-    private Load load;
-    private Thread clients;
+    private ProcessFleet.Clients clients;
 
     private void stage(int nodes, int routers, BiFunction<String, String, String> altered) throws Exception {
         fleet = new ProcessFleet(new ProcessFleet.Size(nodes, routers, SHARDS, false, altered), 1);
-        load = new Load(fleet, false, SHARDS, RandomSource.XO_RO_SHI_RO_128_PP.create(2));
-        clients = new Thread(() -> {
-            try {
-                load.run(RATE, LONGEST);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "load");
-        clients.start();
-        allServe();
+        clients = fleet.clients(RATE, 2);
+        clients.allServe();
     }
 
     @AfterEach
     void giveBack() throws Exception {
-        if (clients != null) {
-            load.stop();
-            clients.join();
-        }
         if (fleet != null) {
             fleet.close();
         }
     }
 
-    /** Each router gives so many more whole or good answers. */
-    private void allServe() throws Exception {
-        for (int i = 0; i < fleet.routers().size(); i++) {
-            int router = i;
-            int before = load.served(i);
-            fleet.until("r" + i + " serves", () -> load.served(router) > before + 20);
-        }
-    }
-
-    private List<String> broken() throws Exception {
-        load.stop();
-        clients.join();
-        Referee judged = fleet.judged();
-        System.out.println(load.asked() + " queries, " + judged.calls() + " calls, " + judged.further() + " further, "
-                + judged.runs() + " runs, statuses " + load.statuses());
-        assertTrue(judged.runs() > 100, "nothing was seen");
-        return judged.broken();
-    }
-
     @Test
     void aKilledNodeIsBackUnderItsNameAndCold() throws Exception {
         stage(4, 3, AS_IT_IS);
         fleet.kill("n1");
-        allServe();
+        clients.allServe();
         fleet.start("n1");
-        allServe();
+        clients.allServe();
         fleet.until("n1 is called again", () -> fleet.calls("n1") > 50);
-        assertEquals(List.of(), broken());
+        assertEquals(List.of(), clients.broken());
     }
 
     /** Nobody shares anything: each has its even part of a cold node's budget, cut off or not, and the sum holds. */
@@ -97,8 +63,8 @@
             fleet.until(node + " carries work", () -> fleet.calls(node) > 80);
         }
         fleet.healAll();
-        allServe();
-        assertEquals(List.of(), broken());
+        clients.allServe();
+        assertEquals(List.of(), clients.broken());
     }
 
     @Test
@@ -110,11 +76,11 @@
         fleet.way("r2", ProcessFleet.DISCOVERY).set(Relay.Way.BACK, Relay.Fault.CUT, Duration.ZERO);
         fleet.way("r1", "n2").both(Relay.Fault.REORDER, Duration.ofMillis(50));
         fleet.way("r0", "n3").both(Relay.Fault.DELAY, Duration.ofMillis(30));
-        allServe();
+        clients.allServe();
         fleet.healAll();
         fleet.way("r0", "n1").reset();
-        allServe();
-        assertEquals(List.of(), broken());
+        clients.allServe();
+        assertEquals(List.of(), clients.broken());
     }
 
     @Test
@@ -130,8 +96,8 @@
         for (String name : all.subList(0, 3)) {
             fleet.start(name);
         }
-        allServe();
-        assertEquals(List.of(), broken());
+        clients.allServe();
+        assertEquals(List.of(), clients.broken());
     }
 
     /** While it is stopped a node is replaced and another drains: it must learn of both before it sends. */
@@ -144,8 +110,8 @@
         fleet.tell("n3", "draining");
         fleet.until("the others serve", () -> fleet.calls("n0") > 30);
         fleet.wake("r0");
-        allServe();
-        assertEquals(List.of(), broken());
+        clients.allServe();
+        assertEquals(List.of(), clients.broken());
     }
 
     /** Rule 4's sum is one that no router sees: each keeps to what it takes for its own. */
@@ -155,7 +121,7 @@
         fleet.kill("n0");
         fleet.start("n0");
         fleet.until("n0 carries work", () -> fleet.calls("n0") > 100);
-        List<String> broken = broken();
+        List<String> broken = clients.broken();
         assertTrue(broken.stream().anyMatch(line -> line.startsWith("rule 4")), broken.toString());
     }
 }
