--- a/src/main/java/postbeam/pages/Mark.java
+++ b/src/main/java/postbeam/pages/Mark.java
@@ -1,6 +1,5 @@
 package postbeam.pages;
 
-import java.nio.charset.CharsetEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -27,9 +26,7 @@
         }
         for (Object value : sort) {
             if (value instanceof String text) {
-                CharsetEncoder encoder = StandardCharsets.UTF_8.newEncoder();
-                if (text.length() > TEXT_MOST || !encoder.canEncode(text)
-                        || text.getBytes(StandardCharsets.UTF_8).length > TEXT_MOST) {
+                if (text.length() > TEXT_MOST || !plain(text) && !fits(text)) {
                     return "a sort value is longer than " + TEXT_MOST + " bytes, or no text";
                 }
             } else if (value != null && !(value instanceof Long)) {
@@ -38,4 +35,19 @@
         }
         return null;
     }
+
+    private static boolean plain(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) >= 0x80) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Half a code point has no bytes of its own: its mark would come back as another. */
+    private static boolean fits(String text) {
+        return StandardCharsets.UTF_8.newEncoder().canEncode(text)
+                && text.getBytes(StandardCharsets.UTF_8).length <= TEXT_MOST;
+    }
 }
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -172,7 +172,7 @@
 
     /**
      * Asks again for the page of a query that was answered; null where that may not be. It goes as a query that arrived
-     * with the first and ends at its SLO time, and whose parts inherit the leaf calls for their keys: each of its own is
+     * with the first and ends within its SLO time, and whose parts inherit the leaf calls for their keys: each of its own is
      * then one beyond the part's first, for rule 6 and for the part's limit.
      */
     OpenQuery takeFurther(OpenQuery first, List<Ask> asks) {
@@ -180,7 +180,7 @@
         try {
             Duration now = now();
             Query old = first.query;
-            Duration until = old.sloAt().compareTo(old.deadline) < 0 ? old.sloAt() : old.deadline;
+            Duration until = paging.until(now, old);
             Asked asked = first.asked.again(first.further.size() + 1);
             if (first.left || until.compareTo(now) <= 0 || open.containsKey(asked.id())) {
                 return null;
--- a/src/main/java/postbeam/router/Paging.java
+++ b/src/main/java/postbeam/router/Paging.java
@@ -23,6 +23,7 @@
 import postbeam.slices.Slice;
 import postbeam.slices.Unroutable;
 import postbeam.state.Effect;
+import postbeam.state.Query;
 import postbeam.state.Vertical;
 
 /** Serves pages by the decisions: opens cursors before anything is sent, asks again where it must, gives the page. */
@@ -30,6 +31,9 @@
     /** Rounds of further asks: what is short after them is given short. */
     private static final int FURTHER_ROUNDS = 2;
 
+    /** A round of further asks has at least this: some times the way there and back and a node's usual work. */
+    private static final Duration ROUND_LEAST = Duration.ofMillis(200);
+
     private final CursorSeal seal;
     private final int rowsMost;
     private final Map<String, Shares> shares = new ConcurrentHashMap<>();
@@ -54,6 +58,17 @@
         return settings.with("obligations.spareAttempts", String.valueOf(held - furtherAsks.reserve()));
     }
 
+    /**
+     * When a query that asks again ends: within the SLO time, and after about as long as the page took so far. Guards
+     * against a page that waits for rule 6's budget, where it could be given short at once; it could hurt where nodes get
+     * slower from one round to the next.
+     */
+    Duration until(Duration now, Query first) {
+        Duration until = now.plus(now.minus(first.arrivedAt)).plus(ROUND_LEAST);
+        until = until.compareTo(first.sloAt()) < 0 ? until : first.sloAt();
+        return until.compareTo(first.deadline) < 0 ? until : first.deadline;
+    }
+
     /** Whether a query with so many parts that asks again may begin now. */
     boolean begins(Duration now, int parts) {
         return furtherAsks.begins(now, parts);
--- a/src/test/java/postbeam/rig/PagesIT.java
+++ b/src/test/java/postbeam/rig/PagesIT.java
@@ -282,4 +282,17 @@
         assertEquals(sent, referee.calls());
         assertTrue(asked(2, "search", next(10, cursor)).startsWith("200 "), "and the sound one goes on, by the older key");
     }
+
+    /** What a start of a router takes, without settings of our own, has nothing of pages in it. */
+    @Test
+    void nothingOfItIsLoadedWhereItIsOff() throws Exception {
+        Path loaded = dir.resolve("loaded.txt");
+        Process rehearsed = new ProcessBuilder("java", "-Xshare:off", "-Xlog:class+load:file=" + loaded, "-jar",
+                "target/postbeam.jar", "rehearse").redirectErrorStream(true).redirectOutput(dir.resolve("r.txt").toFile()).start();
+        assertEquals(0, rehearsed.waitFor());
+        String classes = Files.readString(loaded);
+        assertTrue(classes.contains(" postbeam.router.Decisions "));
+        assertFalse(classes.contains(" postbeam.pages.") || classes.contains(" postbeam.router.Pag")
+                || classes.contains(" postbeam.clients.Page"));
+    }
 }
