--- a/src/main/java/postbeam/pages/Assembly.java
+++ b/src/main/java/postbeam/pages/Assembly.java
@@ -7,9 +7,9 @@
 import postbeam.slices.KeyRange;
 
 /**
- * Makes one page. What to ask comes from {@link #first} and, as long as it names any, from {@link #further}; what came is
- * told with {@link #took}, each range of keys once a round and sound (see {@link Partial#problem}); {@link #end} is the
- * page. To be used by one thread.
+ * Makes one page. What to ask comes from {@link #first} and, as long as it names any, from {@link #further}; what came
+ * is told with {@link #took}, each range of keys once a round and sound (see {@link Partial#problem}); {@link #end} is
+ * the page. To be used by one thread.
  */
 public class Assembly {
     /** Ranges in a cursor: more than a query usually has parts. */
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Where keys of an answered range stand, once rows up to this mark were given; whatever was reached beyond it has to
+     * Where keys of an answered range stand, once rows up to this mark were given; what was reached beyond it has to
      * be fetched again. Several keys of a range were asked apart where its slice was cut since.
      */
     protected Mark standsAt(Standing before, KeyRange keys, Mark reached, Mark given) {
@@ -257,8 +257,8 @@
             after(one, last, missing, next);
         }
         shares.learnt(rows, rootStandings());
-        return new Page(rows, missing, fewest(next), rows.size() < size && tracks.stream().anyMatch(track -> track.next != null),
-                fetched);
+        boolean left = tracks.stream().anyMatch(track -> track.next != null);
+        return new Page(rows, missing, fewest(next), rows.size() < size && left, fetched);
     }
 
     /** Where this range stands after the page, in pieces where they differ. */
@@ -305,7 +305,7 @@
         return true;
     }
 
-    /** Pieces of one range that stand alike are one again, so that ranges don't grow in number with slices cut since. */
+    /** Pieces of one range that stand alike are one again: else ranges would grow in number as slices are cut. */
     private static void joined(List<Standing> pieces, List<Standing> next, long from) {
         for (Standing piece : pieces) {
             int last = next.size() - 1;
--- a/src/main/java/postbeam/pages/Merge.java
+++ b/src/main/java/postbeam/pages/Merge.java
@@ -22,7 +22,7 @@
 
     private Merge() {}
 
-    /** The first rows of all lists, so many at the most and none that does not come before the bound; null: there is none. */
+    /** The first rows of all lists, so many at the most, and only what comes before the bound, if that is not null. */
     public static List<Row> first(Comparator<Mark> order, List<List<Row>> lists, int most, Mark bound) {
         PriorityQueue<Head> heads = new PriorityQueue<>(Math.max(1, lists.size()),
                 (one, other) -> order.compare(one.mark(), other.mark()));
--- a/src/main/java/postbeam/pages/PageError.java
+++ b/src/main/java/postbeam/pages/PageError.java
@@ -43,7 +43,7 @@
 
         @Override
         public String advice() {
-            return "give all routers the same pages.key, with the one before it as pages.oldKey while cursors of it are about";
+            return "give all routers the same pages.key, and the one before as pages.oldKey while its cursors last";
         }
     }
 
--- a/src/main/java/postbeam/pages/RowForm.java
+++ b/src/main/java/postbeam/pages/RowForm.java
@@ -15,9 +15,9 @@
 
 /**
  * Asks and rows as they travel between routers and data nodes, and rows as clients get them, in JSON. An ask:
- * {"order":[{"by":NAME,"descending":B,"missing":"first"}],"asks":[[FROM,TO,ROWS,MARK]],"marks":[[[SORT..],KEY,SEQUENCE]]},
- * MARK being a place in marks or -1; what a part gives: {"rows":[[[SORT..],KEY,SEQUENCE,TEXT]],"next":[[SORT..],KEY,SEQUENCE]}, without next if it has no
- * more.
+ * {"order":[{"by":NAME,"descending":B,"missing":"first"}],"asks":[[FROM,TO,ROWS,MARK]],"marks":[[[SORT..],KEY,SEQ]]},
+ * MARK being a place in marks or -1. What a part gives: {"rows":[[[SORT..],KEY,SEQ,TEXT]],"next":[[SORT..],KEY,SEQ]},
+ * without next where it has no more.
  */
 public final class RowForm {
     private RowForm() {}
--- a/src/main/java/postbeam/pages/Shares.java
+++ b/src/main/java/postbeam/pages/Shares.java
@@ -5,7 +5,8 @@
 
 /**
  * How many rows to expect of which keys, learnt from pages given: counts in even buckets of the key space, and how far
- * rows are spread beyond chance. It decides what a page costs, never what is on it. Its own lock; nothing waits under it.
+ * rows are spread beyond chance. It decides what a page costs, never what is on it. It has a lock of its
+ * own, under which nothing waits.
  */
 public final class Shares {
     /** Even buckets of the key space: finer than a tenth of a slice for a hundred slices. */
@@ -19,7 +20,7 @@
     private static final double FETCHED_MOST = 1.3;
     /** Times the spread that is ever asked for beyond the expected: one part in a hundred then runs out. */
     private static final double SPREADS_MOST = 2.5;
-    /** What a further ask costs, in rows: asking for one row more pays while it saves more than one in so many times. */
+    /** What a further ask costs, in rows: one row more pays while it saves more than one of so many asks. */
     private static final double ASK_COST = 8;
     /** Of a page in how far rows are spread more or less than by chance, and the bounds of that. */
     private static final double SPREAD_STEP = 0.05;
@@ -74,7 +75,8 @@
             double sigma = spread(size, shares[i]);
             // Where the chance of one row more is 1 in ASK_COST, by the bell curve.
             double height = sigma * Math.sqrt(2 * Math.PI) / ASK_COST;
-            double pays = height < 1 && height > 0 ? Math.floor(expected + sigma * Math.sqrt(-2 * Math.log(height))) : 0;
+            double pays = height < 1 && height > 0
+                    ? Math.floor(expected + sigma * Math.sqrt(-2 * Math.log(height))) : 0;
             double most = Math.max(expected + times * sigma, pays);
             rows[i] = bounded(owing[i] ? Math.max(most, OWING * expected) : most, size);
         }
--- a/src/main/java/postbeam/rig/PagesTrial.java
+++ b/src/main/java/postbeam/rig/PagesTrial.java
@@ -4,7 +4,7 @@
 import java.util.Locale;
 import java.util.stream.Stream;
 
-/** Pages read through changing routers while slices are re-cut and ranges go missing, against a plain sort; no sockets. */
+/** Pages through changing routers while slices are re-cut and ranges go missing, against a plain sort; no sockets. */
 final class PagesTrial implements Trial {
     @Override
     public String name() {
@@ -27,9 +27,9 @@
                 : PlantedPages.Defect.valueOf(defect.toUpperCase(Locale.ROOT).replace('-', '_')));
         List<String> broken = world.run();
         return new Result(List.of(String.format(Locale.ROOT, "seed %d: %d rows of %d on %d pages, %d of them without "
-                + "some ranges, %d short; %.2f rows fetched over rows given, %.2f calls a page; layouts %d, cursors up to %d",
-                seed, world.given(), world.rows(), world.pages(), world.pagesMissing(), world.pagesShort(),
-                (double) world.fetched() / Math.max(1, world.given()), (double) world.calls() / Math.max(1, world.pages()),
-                world.layouts(), world.longestCursor())), broken);
+                + "some ranges, %d short; %.2f rows fetched over rows given, %.2f calls a page; layouts %d, "
+                + "cursors up to %d", seed, world.given(), world.rows(), world.pages(), world.pagesMissing(),
+                world.pagesShort(), (double) world.fetched() / Math.max(1, world.given()),
+                (double) world.calls() / Math.max(1, world.pages()), world.layouts(), world.longestCursor())), broken);
     }
 }
--- a/src/main/java/postbeam/rig/PagesWorld.java
+++ b/src/main/java/postbeam/rig/PagesWorld.java
@@ -192,7 +192,7 @@
         }
     }
 
-    /** Null where it is told to be too old, as it is: then the chain is over. One that is ahead waits for the layout. */
+    /** Null where it is told to be too old, as it is: the chain is over. One that is ahead waits for the layout. */
     private Cursor opened(Reader reader, String text, long digest) {
         while (true) {
             Lineage held = lineage(reader);
@@ -280,7 +280,8 @@
             Change change = switch (chance.nextInt(3)) {
                 case 0 -> new Change.Split(slice.number(), List.of(slice.keys().from() + 1
                         + (long) (chance.nextDouble() * (slice.keys().size() - 1))));
-                case 1 -> new Change.Move(slice.number(), slice.nodes().get(0), NODES.get(chance.nextInt(NODES.size())));
+                case 1 -> new Change.Move(slice.number(), slice.nodes().get(0),
+                        NODES.get(chance.nextInt(NODES.size())));
                 default -> new Change.Merge(layout.slices().stream().map(Slice::number)
                         .skip(chance.nextInt(layout.slices().size())).limit(2).toList());
             };
@@ -351,8 +352,12 @@
     }
 
     private void whole(List<Row> chain, boolean everMissing) {
-        List<Row> expected = rows.stream().filter(row -> asked.stream().anyMatch(one -> one.keys().from() <= row.at().key()
-                && row.at().key() < one.keys().to())).sorted((one, other) -> order.compare(one.at(), other.at())).toList();
+        List<Row> expected = new ArrayList<>();
+        for (Row row : SortedRows.sorted(order, rows, KeyRange.ALL)) {
+            if (asked.stream().anyMatch(one -> one.keys().from() <= row.at().key() && row.at().key() < one.keys().to())) {
+                expected.add(row);
+            }
+        }
         Map<Row, Integer> times = new LinkedHashMap<>();
         chain.forEach(row -> times.merge(row, 1, Integer::sum));
         times.forEach((row, count) -> {
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -171,9 +171,9 @@
     }
 
     /**
-     * Asks again for the page of a query that was answered; null where that may not be. It goes as a query that arrived
-     * with the first and ends within its SLO time, and whose parts inherit the leaf calls for their keys: each of its own is
-     * then one beyond the part's first, for rule 6 and for the part's limit.
+     * Asks again for the page of a query that was answered; null where that may not be. It goes as a query that
+     * arrived with the first and ends within its SLO time, and whose parts inherit the leaf calls for their keys: each
+     * of its own is then one beyond the part's first, for rule 6 and for the part's limit.
      */
     OpenQuery takeFurther(OpenQuery first, List<Ask> asks) {
         lock.lock();
@@ -279,8 +279,8 @@
     // ---- for those that hear from data nodes and discovery
 
     /**
-     * Tells how leaf calls ended, each once; one that has ended otherwise meanwhile is passed over. Rows that are spoilt
-     * are an error of the node, and the part may go to another.
+     * Tells how leaf calls ended, each once; one that has ended otherwise meanwhile is passed over. Spoilt rows are an
+     * error of the node, and the part may go to another.
      */
     public void report(List<Ending> told) {
         List<Ending> endings = paging == null ? told : told.stream().map(Decisions::read).toList();
--- a/src/main/java/postbeam/router/Paged.java
+++ b/src/main/java/postbeam/router/Paged.java
@@ -19,8 +19,8 @@
 import postbeam.slices.Pin;
 
 /**
- * One page on its way: what its parts are asked, what they gave, and the page at the end. A further ask is a page on its
- * way of its own over the same assembly.
+ * One page on its way: what its parts are asked, what they gave, and the page at the end. A further ask is one of its
+ * own over the same assembly.
  */
 final class Paged {
     private static final System.Logger LOG = System.getLogger(Paged.class.getName());
--- a/src/main/java/postbeam/router/Paging.java
+++ b/src/main/java/postbeam/router/Paging.java
@@ -60,8 +60,8 @@
 
     /**
      * When a query that asks again ends: within the SLO time, and after about as long as the page took so far. Guards
-     * against a page that waits for rule 6's budget, where it could be given short at once; it could hurt where nodes get
-     * slower from one round to the next.
+     * against a page that waits for rule 6's budget, where it could be given short at once; it could hurt where nodes
+     * get slower from one round to the next.
      */
     Duration until(Duration now, Query first) {
         Duration until = now.plus(now.minus(first.arrivedAt)).plus(ROUND_LEAST);
@@ -92,13 +92,14 @@
                 standings = seal.opened(page.cursor(), digest(asked), lineage).standings();
                 names = names(held, standings);
             } else if (standings.size() > Assembly.RANGES_MOST) {
-                throw new PageError.BadRequest("ranges", standings.size() + " are more than " + Assembly.RANGES_MOST).thrown();
+                throw new PageError.BadRequest("ranges", standings.size() + " are more than " + Assembly.RANGES_MOST)
+                        .thrown();
             }
             Assembly assembly = new Assembly(page.order(), page.rows(), standings,
                     shares.computeIfAbsent(asked.vertical(), key -> new Shares()));
             List<Ask> asks = assembly.first(lineage);
-            return new Paged(assembly, asks, page.cursor() == null && asked.layout() > 0 ? asked.layout() : held.version,
-                    names, asked.text());
+            boolean own = page.cursor() == null && asked.layout() > 0;
+            return new Paged(assembly, asks, own ? asked.layout() : held.version, names, asked.text());
         } catch (ExplainedException e) {
             throw new Unroutable(e.error() instanceof PageError.TooOld ? Unroutable.Reason.NO_LONGER_KEPT
                     : e.error() instanceof PageError.Ahead ? Unroutable.Reason.NOT_KNOWN_YET
--- a/src/main/java/postbeam/router/Step.java
+++ b/src/main/java/postbeam/router/Step.java
@@ -16,7 +16,10 @@
     /** Asks a node how it is. */
     record Probe(String node, String address) implements Step { }
 
-    /** Answers from these parts; the layout is the version whose slices they make whole, 0 where none moves; no page: null. */
+    /**
+     * Answers from these parts; the layout is the version whose slices they make whole, 0 where none moves, the page
+     * null where none was asked for.
+     */
     record Answer(boolean whole, List<Value> values, long layout, PageGiven page) implements Step {
         Answer(boolean whole, List<Value> values, long layout) {
             this(whole, values, layout, null);
--- a/src/test/java/postbeam/pages/MergeBenchmark.java
+++ b/src/test/java/postbeam/pages/MergeBenchmark.java
@@ -22,7 +22,7 @@
 import postbeam.errors.ExplainedException;
 import postbeam.slices.KeyRange;
 
-/** What a page of 1,000 rows costs a row, by how many parts it is merged from; run as {@code TranslationBenchmark} is. */
+/** What a page of 1,000 rows costs a row, by the parts it is merged from; run as {@code TranslationBenchmark} is. */
 @State(Scope.Benchmark)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
@@ -53,7 +53,8 @@
             List<Row> rows = new ArrayList<>();
             for (int j = 0; j < SIZE / parts + 1; j++) {
                 rows.add(new Row(new Mark(List.of((long) chance.nextInt(50), "city " + chance.nextInt(40)),
-                        keys.from() + chance.nextInt(1 << 20), j), "a row of some sixty bytes, as an answer to a search has them"));
+                        keys.from() + chance.nextInt(1 << 20), j),
+                        "a row of some sixty bytes, as an answer to a search has them"));
             }
             rows.sort((one, other) -> order.compare(one.at(), other.at()));
             lists.add(rows);
--- a/src/test/java/postbeam/router/PagingTest.java
+++ b/src/test/java/postbeam/router/PagingTest.java
@@ -37,7 +37,7 @@
 import postbeam.state.Outcome;
 import postbeam.state.Readiness;
 
-/** Pages by the decisions themselves, with the test as the data nodes: what is sent, and as whose leaf call it counts. */
+/** Pages by the decisions, with the test as the data nodes: what is sent, and as whose leaf call it counts. */
 class PagingTest {
     private static final Order ORDER = new Order(List.of(new SortKey("k", false, false)));
     private static final long HALF = KeyRange.KEYS / 2;
