--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,7 @@
 import org.xnio.channels.Channels;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
+import postbeam.errors.ExplainedException;
 import postbeam.router.Asked;
 import postbeam.router.OpenQuery;
 import postbeam.router.Step;
@@ -86,7 +88,14 @@
         boolean ready();
     }
 
+    /** Answers a request that is no query, on a thread of the door's own; what can't be answered is told in a line. */
+    public interface Form {
+        byte[] answer(byte[] body) throws IOException, ExplainedException;
+    }
+
     private final Queries queries;
+    /** By path; empty where our own settings switch nothing on. */
+    private Map<String, Form> forms = Map.of();
     private final Map<String, Duration> usualWaits;
     private final Set<String> owners;
     private final int shards;
@@ -104,6 +113,8 @@
     private volatile boolean leaving;
     private volatile long leaveAt;
     private volatile boolean closing;
+    /** On the I/O thread alone: no connection is left that is between requests. */
+    private boolean closed;
 
     /** The usual wait of a vertical is null where the settings state none. */
     public ClientDoor(XnioWorker worker, InetSocketAddress listen, Queries queries, Map<String, Duration> usualWaits,
@@ -132,6 +143,13 @@
         pageRows = rowsMost;
     }
 
+    /** Adds a form; to be called before it starts. */
+    public void form(String path, Form form) {
+        Map<String, Form> more = new LinkedHashMap<>(forms);
+        more.put(path, form);
+        forms = more;
+    }
+
     /** Starts to listen; an IOException tells why it can't. */
     public void start() throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
@@ -252,6 +270,11 @@
             say(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
             return;
         }
+        Form form = forms.get(path);
+        if (form != null) {
+            read(exchange, exchange.getRequestChannel(), new ByteArrayOutputStream(), body -> answer(exchange, form, body));
+            return;
+        }
         int end = path.indexOf('/', 1);
         String vertical = path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
         if (!usualWaits.containsKey(vertical)) {
@@ -290,6 +313,29 @@
         }
     }
 
+    private void answer(HttpServerExchange exchange, Form form, byte[] body) {
+        begin(exchange);
+        exchange.dispatch(threads, () -> {
+            byte[] answer = null;
+            String wrong = "";
+            try {
+                answer = form.answer(body);
+            } catch (IOException | ExplainedException e) {
+                wrong = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            }
+            byte[] bytes = answer;
+            String why = wrong;
+            exchange.dispatch(exchange.getIoThread(), () -> {
+                if (bytes == null) {
+                    say(exchange, 400, why);
+                } else {
+                    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                    exchange.getResponseSender().send(ByteBuffer.wrap(bytes));
+                }
+            });
+        });
+    }
+
     private static boolean lengthFits(HttpServerExchange exchange) {
         try {
             return exchange.getRequestContentLength() <= LONGEST_BODY;
@@ -460,17 +506,38 @@
         return connections.isEmpty();
     }
 
-    /** Whether all requests are answered to their last byte; to be asked on the I/O thread. */
+    /** Whether it is closed and all requests are answered to their last byte; to be asked on the I/O thread. */
     public boolean idle() {
-        return connections.stream().noneMatch(connection -> connection.busy);
+        return closed && connections.stream().noneMatch(connection -> connection.busy);
     }
 
-    /** Takes no new connection, and closes those that are between requests. */
+    /** Takes no new connection, and closes those that are between requests; those in one after its answer. */
     public void close() {
         closing = true;
         IoUtils.safeClose(server);
-        io.execute(() -> List.copyOf(connections).stream().filter(connection -> !connection.busy)
-                .forEach(IoUtils::safeClose));
+        io.execute(this::closeUnused);
+    }
+
+    /**
+     * Each is looked at twice, as in {@link #cut}: clients send on every connection that stays open, and what has come
+     * while the router is late is no crossing of its closing, but a request that would get no answer.
+     */
+    private void closeUnused() {
+        boolean again = false;
+        for (ClientConnection connection : List.copyOf(connections)) {
+            if (!connection.busy && connection.lookedAt) {
+                IoUtils.safeClose(connection);
+            } else if (!connection.busy) {
+                connection.lookedAt = true;
+                again = true;
+            }
+        }
+        closed = !again;
+        if (again) {
+            // In two steps: where the thread is so late that the first is due at once, it has read by the second.
+            io.executeAfter(() -> io.executeAfter(this::closeUnused, SWEEP.toMillis() / 2, TimeUnit.MILLISECONDS),
+                    SWEEP.toMillis() / 2, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Gives the threads back, once all is answered. */
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntFunction;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -61,8 +60,8 @@
     private final ClientDoor rehearsalDoor;
     private Startup held;
     private LongPoll<Told> watch;
-    /** How long discovery is left alone after so many failures. */
-    private final IntFunction<Duration> pace;
+    /** How discovery is asked. */
+    private final Asking.Pace pace;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
@@ -72,6 +71,8 @@
     private final Paging paging;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
+    /** Null where nothing runs beside it. */
+    private Beside beside;
     private volatile boolean listed;
     private volatile boolean laidOut;
     private volatile boolean ready;
@@ -130,8 +131,7 @@
         held = startup;
         Random chance = new Random(startup.seed());
         Duration askEvery = settings.span("obligations.askEvery");
-        pace = "subscribe".equals(settings.text("discovery"))
-                ? failures -> Asking.pause(failures, askEvery, chance) : LongPoll.SOON;
+        pace = "subscribe".equals(settings.text("discovery")) ? Asking.priced(askEvery, chance) : Asking.FREE;
         watch = Watch.of(discovery, cells, this::listed, pace);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
@@ -180,6 +180,13 @@
         ready = listed;
     }
 
+    /** What runs beside it; to be called before it starts. */
+    public Router with(Beside other) {
+        beside = other;
+        other.forms(clients);
+        return this;
+    }
+
     /** Starts to serve; an IOException says why it can't listen. */
     public void start() throws IOException {
         thread("ticks", this::ticks);
@@ -193,6 +200,9 @@
         rehearsalDoor.rehearse(rehearsal::request, REHEARSED, REHEARSAL_MOST);
         rehearsalDoor.stop();
         clients.start();
+        if (beside != null) {
+            beside.start();
+        }
         LOG.log(System.Logger.Level.INFO, started);
     }
 
@@ -341,6 +351,9 @@
         while (System.nanoTime() - asked < leaveTimes.servesOn().toNanos() && !on(clients::unused)) {
             Thread.sleep(LOOK.toMillis());
         }
+        if (beside != null) {
+            beside.stop();
+        }
         clients.close();
         // The last look is taken where requests are read, so none can be begun after it.
         while (!on(clients::idle)) {
