--- a/src/main/java/postbeam/shared/Judgements.java
+++ b/src/main/java/postbeam/shared/Judgements.java
@@ -126,11 +126,12 @@
         }
         Set<String> from = new LinkedHashSet<>();
         bad.forEach(report -> from.add(report.zone()));
-        return bad.size() >= reportersLeast() && bad.size() > well.size() && from.size() >= Math.min(ZONES_LEAST, zones);
+        return enough(bad.size(), from.size()) && bad.size() > well.size();
     }
 
-    protected int reportersLeast() {
-        return Math.max(2, Math.min(REPORTERS_LEAST, routers - 1));
+    /** Guards against routers that are cut off from a node others reach: they tend to be few, or of one zone. */
+    protected boolean enough(int reporters, int ofZones) {
+        return reporters >= Math.max(2, Math.min(REPORTERS_LEAST, routers - 1)) && ofZones >= Math.min(ZONES_LEAST, zones);
     }
 
     /**
