--- a/src/main/java/postbeam/clients/ClientDoor.java
+++ b/src/main/java/postbeam/clients/ClientDoor.java
@@ -104,6 +104,8 @@
     private final XnioIoThread io;
     private final InetSocketAddress listen;
     private final HttpOpenListener http;
+    /** The most rows of a page; 0 where no pages are given. */
+    private int pageRows;
     private AcceptingChannel<StreamConnection> server;
     private final ExecutorService threads;
     /** On the I/O thread alone: all that are open, those that have waited longest first. */
@@ -111,6 +113,8 @@
     private volatile boolean leaving;
     private volatile long leaveAt;
     private volatile boolean closing;
+    /** On the I/O thread alone: no connection is left that is between requests. */
+    private boolean closed;
 
     /** The usual wait of a vertical is null where the settings state none. */
     public ClientDoor(XnioWorker worker, InetSocketAddress listen, Queries queries, Map<String, Duration> usualWaits,
@@ -134,6 +138,11 @@
         http.setRootHandler(this);
     }
 
+    /** Lets clients ask for pages of so many rows at most; to be called before it starts. */
+    public void pages(int rowsMost) {
+        pageRows = rowsMost;
+    }
+
     /** Adds a form; to be called before it starts. */
     public void form(String path, Form form) {
         Map<String, Form> more = new LinkedHashMap<>(forms);
@@ -355,7 +364,8 @@
     private void take(HttpServerExchange exchange, byte[] body, String vertical, long begun) {
         Asked asked;
         try {
-            asked = QueryForm.read(exchange, body, vertical, owners, shards, usualWaits.get(vertical));
+            asked = QueryForm.read(exchange, body, vertical, owners, shards, usualWaits.get(vertical),
+                    pageRows);
         } catch (IOException e) {
             say(exchange, 400, e.getMessage().lines().findFirst().orElse(""));
             return;
@@ -464,6 +474,9 @@
                         String.valueOf(reject.comeBack().toMillis() / 1000.0));
             }
             say(exchange, 503, "rejected; asking again is harmless");
+        } else if (last instanceof Step.Refused refused) {
+            LOG.log(System.Logger.Level.WARNING, refused.why().line());
+            say(exchange, 503, refused.why().line());
         } else {
             say(exchange, 504, "aborted");
         }
@@ -493,17 +506,38 @@
         return connections.isEmpty();
     }
 
-    /** Whether all requests are answered to their last byte; to be asked on the I/O thread. */
+    /** Whether it is closed and all requests are answered to their last byte; to be asked on the I/O thread. */
     public boolean idle() {
-        return connections.stream().noneMatch(connection -> connection.busy);
+        return closed && connections.stream().noneMatch(connection -> connection.busy);
     }
 
-    /** Takes no new connection, and closes those that are between requests. */
+    /** Takes no new connection, and closes those that are between requests; those in one after its answer. */
     public void close() {
         closing = true;
         IoUtils.safeClose(server);
-        io.execute(() -> List.copyOf(connections).stream().filter(connection -> !connection.busy)
-                .forEach(IoUtils::safeClose));
+        io.execute(this::closeUnused);
+    }
+
+    /**
+     * Each is looked at twice, as in {@link #cut}: clients send on every connection that stays open, and what has come
+     * while the router is late is no crossing of its closing, but a request that would get no answer.
+     */
+    private void closeUnused() {
+        boolean again = false;
+        for (ClientConnection connection : List.copyOf(connections)) {
+            if (!connection.busy && connection.lookedAt) {
+                IoUtils.safeClose(connection);
+            } else if (!connection.busy) {
+                connection.lookedAt = true;
+                again = true;
+            }
+        }
+        closed = !again;
+        if (again) {
+            // In two steps: where the thread is so late that the first is due at once, it has read by the second.
+            io.executeAfter(() -> io.executeAfter(this::closeUnused, SWEEP.toMillis() / 2, TimeUnit.MILLISECONDS),
+                    SWEEP.toMillis() / 2, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Gives the threads back, once all is answered. */
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntFunction;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -23,6 +22,7 @@
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
 import postbeam.layouts.LayoutWatch;
+import postbeam.pages.Ask;
 import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
@@ -60,13 +60,15 @@
     private final ClientDoor rehearsalDoor;
     private Startup held;
     private LongPoll<Told> watch;
-    /** How long discovery is left alone after so many failures. */
-    private final IntFunction<Duration> pace;
+    /** How discovery is asked. */
+    private final Asking.Pace pace;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
     private final LeaveTimes leaveTimes;
     private final boolean sliced;
+    /** Null where no pages are given. */
+    private final Paging paging;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
     /** Null where nothing runs beside it. */
@@ -81,6 +83,11 @@
 
     /** Where slices move: what makes of the layout what it decides, and where the layout is told. */
     public Router(Startup startup, Slicing slicing, String layouts) throws IOException {
+        this(startup, slicing, layouts, null);
+    }
+
+    /** Where pages are given too: the paging, else null. It needs slices. */
+    public Router(Startup startup, Slicing slicing, String layouts, Paging paging) throws IOException {
         check(startup);
         Info settings = startup.settings;
         String listen = startup.address("listen");
@@ -99,7 +106,8 @@
         int rehearsedShards = settings.atLeast("domain.shards", 1);
         Set<String> owners = Assembly.customers(settings).keySet();
         int partsACall = settings.atLeast("domain.partsACall", 1);
-        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing);
+        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing, paging);
+        this.paging = paging;
         sliced = slicing != null;
         layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut) : null;
         cells = settings.atLeast("domain.cells", 1);
@@ -113,6 +121,9 @@
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 owners, shards, clientsMost);
+        if (paging != null) {
+            clients.pages(paging.rowsMost());
+        }
         rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin, null),
                 settings.text("zone"), cells, List.copyOf(usualWaits.keySet()), owners.stream().findFirst().orElse(null),
                 rehearsedShards);
@@ -120,8 +131,7 @@
         held = startup;
         Random chance = new Random(startup.seed());
         Duration askEvery = settings.span("obligations.askEvery");
-        pace = "subscribe".equals(settings.text("discovery"))
-                ? failures -> Asking.pause(failures, askEvery, chance) : LongPoll.SOON;
+        pace = "subscribe".equals(settings.text("discovery")) ? Asking.priced(askEvery, chance) : Asking.FREE;
         watch = Watch.of(discovery, cells, this::listed, pace);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
@@ -288,11 +298,31 @@
 
     @Override
     public Step serve(OpenQuery q) throws InterruptedException {
+        Step last = served(q);
+        return q.paged != null && last instanceof Step.Answer answer
+                ? paging.given(q, answer, asks -> further(q, asks)) : last;
+    }
+
+    /** Asks again for the page; null where that may not be. */
+    private Paged further(OpenQuery first, List<Ask> asks) throws InterruptedException {
+        OpenQuery q = decisions.takeFurther(first, asks);
+        if (q == null) {
+            return null;
+        }
+        served(q);
+        return q.paged;
+    }
+
+    /** Serves the query until its last step. */
+    private Step served(OpenQuery q) throws InterruptedException {
         while (true) {
             Step step = decisions.pick(q);
             if (step instanceof Step.Send || step instanceof Step.GiveUp) {
                 carryOut(step);
             } else {
+                if (q.paged != null) {
+                    decisions.cameFor(q);
+                }
                 return step;
             }
         }
