Decisions and records of a member's migration, and a gate through which it holds moves back

Need: many moves as one workflow that pauses, verifies, waits for an operator and goes back. Moves ask a gate before they go on to copy, fence and drop; the log keeps a term, by which records of a coordinator that was stopped past its lock are passed over. Behaviour of moves without a gate is unchanged but for a move turned back after its cut, whose data the opposite now copies onto instead of dropping it first.

--- a/src/main/java/postbeam/layouts/MoveLog.java
+++ b/src/main/java/postbeam/layouts/MoveLog.java
@@ -13,7 +13,11 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
 import java.util.zip.CRC32C;
+import postbeam.migration.MigrationError;
+import postbeam.setup.Json;
 import postbeam.slices.Book;
 import postbeam.slices.Logged;
 
@@ -36,6 +40,9 @@
     private FileChannel channel;
     private int records;
     private long cut;
+    private long term;
+    /** Where the next record begins, as far as this process knows. */
+    private long end;
 
     private MoveLog(Path file, FileChannel lockFile) {
         this.file = file;
@@ -60,7 +67,7 @@
                     throw new IOException(file + " is not there, and no first layout is given");
                 }
                 book.apply(first);
-                log.begin(first);
+                log.begin(first, List.of());
             } else {
                 log.read(book);
             }
@@ -103,6 +110,7 @@
             cut = size - at;
             channel.truncate(at);
             channel.position(at);
+            end = at;
             if (cut > 0) {
                 // Perhaps what was cut off had been whole once, and its version told: that one is not used again.
                 Logged.Whole whole = book.whole();
@@ -120,7 +128,13 @@
 
     private void apply(Book book, byte[] record, long at) throws IOException {
         try {
-            book.apply(RecordForm.read(record));
+            Map<String, Object> object = Json.object(record);
+            long written = RecordForm.term(object);
+            if (written > 0 && written < book.term()) {
+                // Slipped in behind a successor's office by one that had been stopped: nothing was done on it.
+                return;
+            }
+            book.apply(RecordForm.read(object));
         } catch (IOException | IllegalArgumentException e) {
             throw new IOException(file + ", byte " + at + ": " + e.getMessage(), e);
         }
@@ -188,14 +202,24 @@
 
     /** A record as it stands in the file. */
     static ByteBuffer framed(Logged record) {
-        byte[] bytes = RecordForm.write(record);
+        return framed(record, 0);
+    }
+
+    private static ByteBuffer framed(Logged record, long term) {
+        byte[] bytes = RecordForm.write(record, term);
         return ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).putInt(sum(bytes.length, bytes))
                 .put(bytes).flip();
     }
 
     /** Once it returns the record is on disk. After an IOException nothing further may be written: the end is unsure. */
     public void append(Logged record) throws IOException {
-        ByteBuffer framed = framed(record);
+        ByteBuffer framed = framed(record, term);
+        if (term > 0) {
+            stillInOffice();
+            // At the end, wherever that is by now: a successor's records are never written over.
+            channel.position(channel.size());
+        }
+        end += framed.remaining();
         while (framed.hasRemaining()) {
             channel.write(framed);
         }
@@ -203,23 +227,59 @@
         records++;
     }
 
+    /** From now on records carry a term above all before; what others write with a lower one counts no more. */
+    public long takeOffice(Book book) throws IOException {
+        term = book.term() + 1;
+        Logged.Office office = new Logged.Office(term);
+        book.apply(office);
+        append(office);
+        return term;
+    }
+
+    /**
+     * Guards against one that was stopped past its lock and goes on beside its successor: the log is longer than it
+     * left it, or another stands in its place. Hurts where somebody else writes to the file, which nobody may.
+     */
+    private void stillInOffice() throws IOException {
+        if (channel.size() != end || Files.size(file) != end) {
+            throw new OfficeLost(new MigrationError.OfficeLost(term, file + ", which others have written to,"));
+        }
+    }
+
+    /** Somebody else writes to the log. */
+    static final class OfficeLost extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        OfficeLost(MigrationError.OfficeLost error) {
+            super(error.line());
+        }
+    }
+
     /** Writes the log anew where it has grown long. */
     public void compact(Book book) throws IOException {
         if (records > COMPACT_AFTER) {
             FileChannel old = channel;
-            begin(book.whole());
+            if (term > 0) {
+                stillInOffice();
+            }
+            begin(book.whole(), book.rest());
             old.close();
         }
     }
 
     /** A new file, synced, in place of the old one, and the directory synced: at no time is there no whole log. */
-    private void begin(Logged.Whole whole) throws IOException {
+    private void begin(Logged.Whole whole, List<Logged> rest) throws IOException {
         Path fresh = file.resolveSibling(file.getFileName() + ".new");
         FileChannel next = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
                 StandardOpenOption.WRITE);
         try {
-            ByteBuffer[] bytes = {ByteBuffer.wrap(MARK), framed(whole)};
-            while (bytes[1].hasRemaining()) {
+            ByteBuffer[] bytes = new ByteBuffer[2 + rest.size()];
+            bytes[0] = ByteBuffer.wrap(MARK);
+            bytes[1] = framed(whole, term);
+            for (int i = 0; i < rest.size(); i++) {
+                bytes[2 + i] = framed(rest.get(i), term);
+            }
+            while (bytes[bytes.length - 1].hasRemaining()) {
                 next.write(bytes);
             }
             next.force(true);
@@ -232,6 +292,7 @@
             throw e;
         }
         channel = next;
+        end = next.size();
         records = 1;
     }
 
--- a/src/main/java/postbeam/layouts/RecordForm.java
+++ b/src/main/java/postbeam/layouts/RecordForm.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import postbeam.migration.Noted;
 import postbeam.setup.Json;
 import postbeam.slices.Logged;
 import postbeam.slices.Move;
@@ -16,12 +17,30 @@
     private RecordForm() {}
 
     public static byte[] write(Logged record) {
-        return LayoutForm.bytes(json -> write(json, record));
+        return write(record, 0);
     }
 
-    private static void write(JsonGenerator json, Logged record) throws IOException {
+    /** With the term of who writes it; 0 where terms are not kept. */
+    public static byte[] write(Logged record, long term) {
+        return LayoutForm.bytes(json -> write(json, record, term));
+    }
+
+    /** The term that a record was written in; 0 where none was kept. */
+    public static long term(Map<String, Object> object) {
+        return object.get("term") instanceof Number term ? term.longValue() : 0;
+    }
+
+    private static void write(JsonGenerator json, Logged record, long term) throws IOException {
         json.writeStartObject();
-        if (record instanceof Logged.Whole whole) {
+        if (term > 0) {
+            json.writeNumberField("term", term);
+        }
+        if (record instanceof Noted noted) {
+            NotedForm.write(json, noted);
+        } else if (record instanceof Logged.Office office) {
+            json.writeStringField("kind", "office");
+            json.writeNumberField("office", office.term());
+        } else if (record instanceof Logged.Whole whole) {
             json.writeStringField("kind", "whole");
             json.writeFieldName("layout");
             LayoutForm.write(json, whole.layout());
@@ -138,7 +157,10 @@
 
     /** An IOException says what can't be used of it. */
     public static Logged read(byte[] bytes) throws IOException {
-        Map<String, Object> object = Json.object(bytes);
+        return read(Json.object(bytes));
+    }
+
+    static Logged read(Map<String, Object> object) throws IOException {
         String kind = Json.member(object, "kind", String.class);
         return switch (kind) {
             case "whole" -> whole(object);
@@ -156,6 +178,8 @@
                     Json.member(object, "owed", Boolean.class));
             case "aimed" -> new Logged.Aimed(object.containsKey("target")
                     ? LayoutForm.target(Json.member(object, "target", Map.class)) : null);
+            case "office" -> new Logged.Office(LayoutForm.number(object, "office"));
+            case "migration" -> NotedForm.read(object);
             default -> throw new IOException("a record of an unknown kind: " + kind);
         };
     }
--- /dev/null
+++ b/src/main/java/postbeam/migration/Checkpoint.java
@@ -0,0 +1,4 @@
+package postbeam.migration;
+
+/** What a checkpoint was opened for: a version of the layout and a digest over what was verified. */
+public record Checkpoint(long version, String digest) { }
--- /dev/null
+++ b/src/main/java/postbeam/migration/Stage.java
@@ -0,0 +1,38 @@
+package postbeam.migration;
+
+/** Where a migration stands. Up to CHECKPOINT the old side serves, from WATCHED on the new one. */
+public enum Stage {
+    /** Waits until the limits allow it to begin. */
+    PLANNED,
+    /** Targets copy, in batches. */
+    COPYING,
+    /** All targets hold all of it and are kept up to date. */
+    CAUGHT_UP,
+    /** Both sides are compared. */
+    VERIFYING,
+    /** Waits for an operator before the switch. */
+    CHECKPOINT,
+    /** Each slice is fenced at its old holder and cut over to the new one. */
+    SWITCHING,
+    /** The new side serves; the old holders are fenced and keep what they have. */
+    WATCHED,
+    /** Waits for an operator before the old side is dropped. */
+    LAST_CHECKPOINT,
+    /** The old side is being dropped: no way back. */
+    RETIRING,
+    /** Over: the new side serves. */
+    RETIRED,
+    /** On the way to what was served before. */
+    ROLLING_BACK,
+    /** Over: the old side serves. */
+    ROLLED_BACK;
+
+    public boolean over() {
+        return this == RETIRED || this == ROLLED_BACK;
+    }
+
+    /** The migration may still be taken back. */
+    public boolean mayGoBack() {
+        return ordinal() <= LAST_CHECKPOINT.ordinal();
+    }
+}
--- a/src/main/java/postbeam/slices/Book.java
+++ b/src/main/java/postbeam/slices/Book.java
@@ -24,12 +24,45 @@
     private long lastVersion;
     private long lastMove;
     private int lastSlice;
+    private long term;
+    private Others others;
+
+    /** What the records of a workflow over moves add up to. */
+    public interface Others {
+        /** An IllegalArgumentException says why a record can't follow on those before. */
+        void apply(Logged.Other record);
+
+        /** Records that stand for all of it. */
+        List<Logged.Other> whole();
+    }
 
     /** A layout knows the slices of so many versions back. */
     public Book(long history) {
         this.history = history;
     }
 
+    /** Who hears the records of a workflow; without one they can't be read. */
+    public void others(Others next) {
+        others = next;
+    }
+
+    /** What follows on {@link #whole} where the log is written anew. */
+    public List<Logged> rest() {
+        List<Logged> rest = new java.util.ArrayList<>();
+        if (term > 0) {
+            rest.add(new Logged.Office(term));
+        }
+        if (others != null) {
+            rest.addAll(others.whole());
+        }
+        return rest;
+    }
+
+    /** Of the process that wrote last; 0 where none was ever taken. */
+    public long term() {
+        return term;
+    }
+
     /** Null before the first record. */
     public Layout layout() {
         return layout;
@@ -98,6 +131,11 @@
     public void apply(Logged record) {
         if (record instanceof Logged.Whole whole) {
             apply(whole);
+        } else if (record instanceof Logged.Office office) {
+            if (office.term() < term) {
+                throw new IllegalArgumentException("term " + office.term() + " is not above " + term);
+            }
+            term = office.term();
         } else if (layout == null) {
             throw new IllegalArgumentException("a log that does not begin with a whole layout");
         } else if (record instanceof Logged.Aimed aimed) {
@@ -114,6 +152,11 @@
             // Who is to have a slice again is not told to drop it for what was once.
             owed.removeIf(loss -> move.gains.stream().anyMatch(gain -> gain.slice() == loss.slice()
                     && gain.node().equals(loss.node())));
+        } else if (record instanceof Logged.Other other) {
+            if (others == null) {
+                throw new IllegalArgumentException("migrations stand in this log: switch layouts.migration on");
+            }
+            others.apply(other);
         } else if (record instanceof Logged.Owed one) {
             if (one.owed()) {
                 owed.add(one.loss());
--- a/src/main/java/postbeam/slices/Coordinator.java
+++ b/src/main/java/postbeam/slices/Coordinator.java
@@ -38,6 +38,7 @@
     private final Map<String, Target.Known> nodes = new LinkedHashMap<>();
     /** Nodes that came onto the list and are to be told what they hold. */
     private final Map<String, Map<Key, Told>> reminded = new LinkedHashMap<>();
+    private Gate gate = Gate.OPEN;
 
     public Coordinator(Book book, MoveLimits limits) {
         this.book = book;
@@ -48,6 +49,16 @@
         return book;
     }
 
+    /** From now on asked before moves go on. */
+    public void gate(Gate next) {
+        gate = next;
+    }
+
+    /** What is known of a node; null where nothing is. */
+    public Target.Known known(String node) {
+        return nodes.get(node);
+    }
+
     /** What discovery tells of data nodes; one that comes, or comes back, is told what it is to serve. */
     public void listed(Map<String, Target.Known> list, List<String> started) {
         for (Map.Entry<String, Target.Known> entry : list.entrySet()) {
@@ -73,6 +84,10 @@
                 return Optional.of("slice " + number + " is moving already");
             }
         }
+        Optional<String> reserved = gate.reserved(change);
+        if (reserved.isPresent()) {
+            return reserved;
+        }
         Layout then;
         try {
             then = book.layout().after(change, births(change), book.nextVersion(), Duration.ZERO, 1);
@@ -217,39 +232,65 @@
     /** As many as there is room for; the others are found again at the next tick. */
     private void planAll(List<Act> acts, List<Change> changes, Duration now) {
         for (Change change : changes) {
-            if (book.moves().size() < 2 * limits.most() && problem(change).isEmpty()) {
+            if (book.moves().stream().filter(move -> !idle(move)).count() < 2L * limits.most() && problem(change).isEmpty()) {
                 acts.addAll(plan(change, now));
             }
         }
     }
 
+    /** It waits for others' say, and needs nothing of its nodes but what they do all the time. */
+    private boolean idle(Move move) {
+        return move.state == MoveState.HOLDING_BOTH && !gate.may(move, MoveState.FENCED)
+                || move.state == MoveState.CUT_OVER && !move.turnsBack && !gate.may(move, MoveState.FORGOTTEN);
+    }
+
+    /** Each node that gains by the move has done this order lately told. */
+    public boolean gained(Move move, Order order) {
+        return move.gains.stream().allMatch(gain -> {
+            Told one = told.getOrDefault(move.id, Map.of()).get(new Key(gain.node(), order, gain.slice()));
+            return one != null && one.done;
+        });
+    }
+
     private void step(List<Act> acts, Move move, Duration now) {
+        boolean copying = move.state == MoveState.COPYING || move.state == MoveState.HOLDING_BOTH;
         boolean late = now.minus(move.since).compareTo(
-                move.state == MoveState.COPYING ? limits.copyMost() : limits.stepMost()) > 0;
+                move.state == MoveState.COPYING ? limits.copyMost() : limits.stepMost()) > 0
+                && (!copying || gate.timed(move));
         switch (move.state) {
             case PLANNED -> {
                 if (lost(move) != null) {
                     abandon(acts, move, "node " + lost(move) + " is gone", now);
-                } else if (mayBegin(move, now)) {
+                } else if (mayBegin(move, now) && gate.may(move, MoveState.COPYING)) {
                     advance(acts, move, MoveState.COPYING, now);
                 }
             }
             case COPYING -> {
                 if (lost(move) != null || late) {
                     abandon(acts, move, late ? "the copy is stuck" : "node " + lost(move) + " is gone", now);
-                } else if (gains(acts, move, Order.COPY, now)) {
+                } else if (gate.may(move, MoveState.HOLDING_BOTH) && gains(acts, move, Order.COPY, now)) {
                     advance(acts, move, MoveState.HOLDING_BOTH, now);
                 }
             }
             case HOLDING_BOTH -> {
                 if (lost(move) != null || late) {
                     abandon(acts, move, late ? "nodes don't keep up" : "node " + lost(move) + " is gone", now);
-                } else if (gains(acts, move, Order.HOLD, now)) {
+                } else if (gains(acts, move, Order.HOLD, now) && gate.may(move, MoveState.FENCED)) {
                     advance(acts, move, MoveState.FENCED, now);
                 }
             }
             case FENCED -> fenced(acts, move, late, now);
             case CUT_OVER -> {
+                if (move.turnsBack && move.change instanceof Change.Move) {
+                    // What the old holders have is wanted again: the opposite move copies onto it, and owes no drop.
+                    move.losses.forEach(loss -> write(acts, new Logged.Owed(loss, true)));
+                    advance(acts, move, MoveState.FORGOTTEN, now);
+                    turnBack(acts, move, now);
+                    return;
+                }
+                if (!gate.may(move, MoveState.FORGOTTEN)) {
+                    return;
+                }
                 // Who does not answer is told again when it is there: what it was fenced from harms nobody so long.
                 if (losses(acts, move, Order.DROP, now) || late) {
                     move.losses.stream().filter(loss -> !done(move.id, loss, Order.DROP))
@@ -340,7 +381,7 @@
         Map<String, Integer> byNode = new HashMap<>();
         Map<String, Integer> byZone = new HashMap<>();
         for (Move other : book.moves()) {
-            if (other.state != MoveState.PLANNED) {
+            if (other.state != MoveState.PLANNED && !idle(other)) {
                 inAll++;
                 other.nodes().forEach(node -> byNode.merge(node, 1, Integer::sum));
                 zones(other).forEach(zone -> byZone.merge(zone, 1, Integer::sum));
@@ -465,7 +506,9 @@
                     continue;
                 }
                 // What a move is about is reminded of once that is over.
-                boolean done = !book.busy(slice.number()) && tell(acts, entry.getValue(), NO_MOVE, entry.getKey(),
+                boolean moving = book.moves().stream().anyMatch(move -> (move.change.slices().contains(slice.number())
+                        || move.births.contains(slice.number())) && !idle(move));
+                boolean done = !moving && tell(acts, entry.getValue(), NO_MOVE, entry.getKey(),
                         Order.SERVE, slice.number(), slice.keys(), slice.bornIn(), null, now);
                 open += done ? 0 : 1;
                 all &= done;
--- a/src/main/java/postbeam/slices/Logged.java
+++ b/src/main/java/postbeam/slices/Logged.java
@@ -32,6 +32,12 @@
     /** A node has yet to be told that a slice is no longer its own; or, where it is not owed any more, has dropped it. */
     record Owed(Move.Loss loss, boolean owed) implements Logged { }
 
+    /** A process has begun to write this log: records and orders of lower terms count no more. */
+    record Office(long term) implements Logged { }
+
+    /** What a workflow over moves writes among them; the {@link Book} hands it on. */
+    non-sealed interface Other extends Logged { }
+
     /** Where the layout is to get; null: nowhere any more. */
     record Aimed(Target target) implements Logged { }
 }
