Members' migrations in the layout service, its command and settings; the trial that kills at each record

Need: operators act on migrations through the layouts command, and the argument is to be tried. The service carries out what is decided, keeps a term in log and orders, and leases layouts to routers that say their name; a router past its lease takes no side-effecting query. trial migration runs two members' migrations with deaths at records, two coordinators and rollbacks, and compares with what ran. Found by it and mended: a copy that differs or is no longer held is made anew on resume; a successor gives what stood still its time again.

--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -10,6 +10,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import postbeam.benchlink.Door;
@@ -145,8 +146,14 @@
             return new Router(startup);
         }
         Info own = OwnSettings.read(Path.of(settings));
-        return Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))
-                ? new Router(startup, new Slicing(), own.needed("layouts.follow.service")) : new Router(startup);
+        if (!Boolean.TRUE.equals(own.flag("layouts.follow.enabled"))) {
+            return new Router(startup);
+        }
+        Slicing slicing = new Slicing();
+        if (Boolean.TRUE.equals(own.flag("layouts.migration.enabled"))) {
+            slicing.lease(Duration.ofMillis(own.atLeast("layouts.migration.leaseMs", 1)));
+        }
+        return new Router(startup, slicing, own.needed("layouts.follow.service"));
     }
 
     private static int serve(String config, String settings) throws InterruptedException {
--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -6,8 +6,10 @@
 import java.net.Proxy;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 
 /**
@@ -28,8 +30,12 @@
         T read(byte[] body) throws IOException;
     }
 
-    /** What is followed: its name in the log, where it is, and the most bytes that it may tell at once. */
-    public record Source(String name, String address, String path, int longest) { }
+    /** What is followed: its name in the log, where it is, the most bytes that it may tell, and headers to ask with. */
+    public record Source(String name, String address, String path, int longest, Supplier<Map<String, String>> says) {
+        public Source(String name, String address, String path, int longest) {
+            this(name, address, path, longest, Map::of);
+        }
+    }
 
     private final Source source;
     private final Reading<T> reading;
@@ -96,6 +102,7 @@
                 .openConnection(Proxy.NO_PROXY);
         call.setConnectTimeout((int) SLACK.toMillis());
         call.setReadTimeout((int) within.toMillis());
+        source.says().get().forEach(call::setRequestProperty);
         int status = call.getResponseCode();
         if (status != HttpURLConnection.HTTP_OK) {
             call.disconnect();
--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -24,6 +24,13 @@
 import java.util.function.Consumer;
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
+import postbeam.errors.ExplainedException;
+import postbeam.migration.Doing;
+import postbeam.migration.MigrationBook;
+import postbeam.migration.MigrationError;
+import postbeam.migration.MigrationLimits;
+import postbeam.migration.Migrations;
+import postbeam.migration.Said;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
@@ -47,6 +54,8 @@
  */
 public final class LayoutService implements Closeable {
     private static final System.Logger LOG = System.getLogger(LayoutService.class.getName());
+    private static final long START_MILLIS = System.currentTimeMillis();
+    private static final long START_NANOS = System.nanoTime();
     /** Between looks at the moves where nothing happens; what happens is looked at at once. */
     private static final Duration LOOK = Duration.ofMillis(50);
     /** Routers that may wait for a newer layout at once; more are told to ask again. */
@@ -56,9 +65,14 @@
     /** Bytes of a plan: a target of some 50,000 slices. */
     private static final int PLAN_LONGEST = 8 << 20;
 
-    /** Where it listens and keeps its log, the discovery it follows, its limits, and the first layout's size. */
+    /** Where it listens and keeps its log, the discovery, limits, the first layout's size; null: no migrations. */
     public record Place(String listen, Path log, String discovery, long history, MoveLimits limits, int firstSlices,
-            int firstHolders) { }
+            int firstHolders, MigrationLimits migration) {
+        public Place(String listen, Path log, String discovery, long history, MoveLimits limits, int firstSlices,
+                int firstHolders) {
+            this(listen, log, discovery, history, limits, firstSlices, firstHolders, null);
+        }
+    }
 
     private final Place place;
     private final Consumer<Layout> listener;
@@ -75,6 +89,8 @@
     private Layout published;
     private byte[] publishedBytes;
     private boolean changed;
+    /** Null where migrations are off, or there is no log yet. */
+    private MigrationDesk desk;
     private volatile boolean stopped;
 
     private record Waiting(HttpServerExchange exchange, long version, long untilNanos) { }
@@ -123,7 +139,14 @@
     }
 
     private void open(Logged.Whole first) throws IOException {
+        MigrationBook migrations = place.migration() == null ? null : new MigrationBook();
+        book.others(migrations);
         log = MoveLog.open(place.log(), book, first);
+        if (migrations != null) {
+            orders.office(log.takeOffice(book), this::said, this::overtaken);
+            desk = new MigrationDesk(new Migrations(coordinator, migrations, place.migration(), now()), coordinator,
+                    place.migration());
+        }
         if (log.cut() > 0) {
             LOG.log(System.Logger.Level.WARNING, "{0}: a torn record of {1} bytes was cut off; the layout goes on as "
                     + "version {2}", place.log(), log.cut(), book.layout().version);
@@ -147,8 +170,20 @@
         return at.getAddress().getHostAddress() + ":" + at.getPort();
     }
 
+    /** Since 1970, as it was at the start and on by a clock that is never set: leases are counted by it. */
     private static Duration now() {
-        return Duration.ofMillis(System.currentTimeMillis());
+        return Duration.ofMillis(START_MILLIS + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - START_NANOS));
+    }
+
+    private synchronized void said(long number, String node, List<Said> said) {
+        desk.migrations().answered(number, node, said, now());
+        wake();
+    }
+
+    /** A node has taken an order of a successor. */
+    private void overtaken() {
+        LOG.log(System.Logger.Level.ERROR, new MigrationError.OfficeLost(book.term(), "a node").line());
+        stopped = true;
     }
 
     // ---- what happens
@@ -172,6 +207,13 @@
         addresses.keySet().removeIf(name -> !known.containsKey(name) || known.get(name).readiness() == Readiness.GONE);
         orders.reachedAt(addresses);
         coordinator.listed(known, started);
+        if (desk != null && !started.isEmpty() && !stopped) {
+            try {
+                carryOutAll(desk.migrations().started(started, now()));
+            } catch (IOException e) {
+                return;
+            }
+        }
         List<String> spread = Placement.spread(known);
         if (log == null && spread.size() >= place.firstHolders()) {
             begin(spread);
@@ -204,6 +246,9 @@
             try {
                 synchronized (this) {
                     if (log != null) {
+                        if (desk != null) {
+                            carryOutAll(desk.migrations().tick(now()));
+                        }
                         carryOut(coordinator.tick(now()));
                         log.compact(book);
                     }
@@ -227,10 +272,25 @@
      * process, the layout told last stays told, and a new start goes on from what is on disk.
      */
     private synchronized void fail(Exception e) {
+        if (e instanceof MoveLog.OfficeLost) {
+            LOG.log(System.Logger.Level.ERROR, e.getMessage());
+            stopped = true;
+            return;
+        }
         LOG.log(System.Logger.Level.ERROR, "moves stop here: the log can't be trusted any more; restart", e);
         stopped = true;
     }
 
+    private void carryOutAll(List<Doing> doings) throws IOException {
+        for (Doing doing : doings) {
+            if (doing instanceof Doing.Of of) {
+                carryOut(List.of(of.act()));
+            } else if (doing instanceof Doing.Ask ask) {
+                orders.ask(ask);
+            }
+        }
+    }
+
     private void carryOut(List<Act> acts) throws IOException {
         for (Act act : acts) {
             if (act instanceof Act.Write write) {
@@ -254,14 +314,27 @@
         publishedBytes = LayoutForm.write(layout);
         List<Waiting> all = List.copyOf(watchers);
         watchers.clear();
-        all.forEach(waiting -> answer(waiting.exchange, publishedBytes));
+        all.forEach(waiting -> answerLayout(waiting.exchange));
+    }
+
+    private void answerLayout(HttpServerExchange exchange) {
+        String router = exchange.getRequestHeaders().getFirst(LayoutWatch.ROUTER);
+        if (desk != null && !inOffice()) {
+            // A layout told now would be a lease that the successor knows nothing of.
+            say(exchange, 503, "another service has taken over");
+            return;
+        }
+        if (desk != null && router != null) {
+            desk.migrations().routers().answered(router, published.version, now());
+        }
+        answer(exchange, publishedBytes);
     }
 
     private void endWaits() {
         long now = System.nanoTime();
         List<Waiting> over = watchers.stream().filter(waiting -> waiting.untilNanos - now <= 0).toList();
         watchers.removeAll(over);
-        over.forEach(waiting -> answer(waiting.exchange, publishedBytes));
+        over.forEach(waiting -> answerLayout(waiting.exchange));
     }
 
     private static void answer(HttpServerExchange exchange, byte[] body) {
@@ -291,6 +364,8 @@
                     said = said(asked, path, body);
                 }
                 say(asked, 200, said);
+            } catch (ExplainedException e) {
+                say(asked, 409, e.getMessage());
             } catch (Refused e) {
                 say(asked, e.status, e.getMessage());
             } catch (IllegalArgumentException | IOException e) {
@@ -307,18 +382,24 @@
         }
         long version = number(exchange, "index", 0);
         long wait = Math.min(WAIT_MOST_MS, number(exchange, "wait", 0));
+        String router = exchange.getRequestHeaders().getFirst(LayoutWatch.ROUTER);
+        if (desk != null && router != null) {
+            desk.migrations().routers().asked(router, held(exchange), now());
+            // So that a lease is renewed while nothing changes.
+            wait = Math.min(wait, place.migration().lease().toMillis() / 3);
+        }
         if (version < published.version || wait <= 0) {
-            answer(exchange, publishedBytes);
+            answerLayout(exchange);
         } else if (watchers.size() >= WATCHERS_MOST) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
             say(exchange, 503, "too many wait for a newer layout");
         } else {
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(wait);
             exchange.dispatch(() -> {
                 synchronized (this) {
-                    Waiting waiting = new Waiting(exchange, version,
-                            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(wait));
+                    Waiting waiting = new Waiting(exchange, version, until);
                     if (published.version > version) {
-                        answer(exchange, publishedBytes);
+                        answerLayout(exchange);
                     } else {
                         watchers.add(waiting);
                     }
@@ -336,8 +417,26 @@
         }
     }
 
+    private boolean inOffice() {
+        try {
+            return !stopped && log.inOffice();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static long held(HttpServerExchange exchange) {
+        try {
+            return Long.parseLong(exchange.getRequestHeaders().getFirst(LayoutWatch.HELD));
+        } catch (NumberFormatException e) {
+            // It says nothing: the oldest that there can be.
+            return 1;
+        }
+    }
+
     /** The answer to a request of operators. */
-    private String said(HttpServerExchange exchange, String path, byte[] body) throws Refused, IOException {
+    private String said(HttpServerExchange exchange, String path, byte[] body) throws Refused, IOException,
+            ExplainedException {
         if (log == null || stopped) {
             throw new Refused(503, log == null ? "there is no layout yet" : "the log failed: restart the service");
         }
@@ -366,7 +465,18 @@
                 wake();
                 return "move " + id + " is being abandoned";
             }
-            default -> throw new Refused(404, "no such request");
+            default -> {
+                if (!MigrationDesk.knows(path)) {
+                    throw new Refused(404, "no such request");
+                }
+                if (desk == null) {
+                    throw new ExplainedException(new MigrationError.SwitchedOff());
+                }
+                MigrationDesk.Answer answer = desk.ordered(path, exchange.getQueryParameters(), body, now());
+                carryOutAll(answer.doings());
+                wake();
+                return answer.said().get();
+            }
         }
     }
 
--- a/src/main/java/postbeam/layouts/LayoutWatch.java
+++ b/src/main/java/postbeam/layouts/LayoutWatch.java
@@ -1,6 +1,8 @@
 package postbeam.layouts;
 
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import postbeam.discovery.LongPoll;
 import postbeam.setup.Json;
 import postbeam.slices.Layout;
@@ -10,10 +12,23 @@
     /** Bytes: some 20,000 slices with the lineage of the last versions. */
     static final int LONGEST = 8 << 20;
 
+    static final String ROUTER = "Layout-Router";
+    static final String HELD = "Layout-Held";
+
     private LayoutWatch() {}
 
+    /** The headers of a router of this name that holds this version, 0 for none. */
+    public static Map<String, String> says(String router, long version) {
+        return Map.of(ROUTER, router, HELD, String.valueOf(version));
+    }
+
     public static LongPoll<Layout> of(String address, Consumer<Layout> told) {
-        return new LongPoll<>(new LongPoll.Source("layouts", address, "/v1/layout", LONGEST),
+        return of(address, told, Map::of);
+    }
+
+    /** A router that says at each question who it is and which layout it holds: {@link #says}. */
+    public static LongPoll<Layout> of(String address, Consumer<Layout> told, Supplier<Map<String, String>> says) {
+        return new LongPoll<>(new LongPoll.Source("layouts", address, "/v1/layout", LONGEST, says),
                 body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told, LongPoll.SOON);
     }
 }
--- a/src/main/java/postbeam/layouts/LayoutsCommand.java
+++ b/src/main/java/postbeam/layouts/LayoutsCommand.java
@@ -8,6 +8,7 @@
 import java.net.HttpURLConnection;
 import java.net.Proxy;
 import java.net.URI;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,16 +16,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import postbeam.migration.MigrationLimits;
 import postbeam.setup.Info;
 import postbeam.setup.OwnSettings;
 import postbeam.slices.MoveLimits;
 
 /** The layout service, and what operators ask of one that runs. */
-@Parameters(commandDescription = "serve: run the layout service; show, plan, start, abandon, status, verify: ask one")
+@Parameters(commandDescription = "serve: run the layout service; show, plan, start, abandon, status, verify, migrate, "
+        + "migrations, pause, resume, checkpoint, rollback: ask one")
 public final class LayoutsCommand {
     private static final Duration ANSWER_MOST = Duration.ofSeconds(10);
 
-    @Parameter(description = "serve|show|plan|start|abandon|status|verify")
+    @Parameter(description = "serve|show|plan|start|abandon|status|verify|migrate|migrations|pause|resume|checkpoint|"
+            + "rollback")
     private List<String> what = new ArrayList<>();
 
     @Parameter(names = "--settings", description = "File of settings in JSON5, as deploy/postbeam.json5")
@@ -46,6 +50,15 @@
     @Parameter(names = "--target", description = "abandon: the target, so that no further moves are planned")
     private boolean target;
 
+    @Parameter(names = "--migration", description = "pause, resume, checkpoint, rollback: the number of the migration")
+    private Long migration;
+
+    @Parameter(names = "--version", description = "checkpoint: the version that it was opened for")
+    private Long version;
+
+    @Parameter(names = "--digest", description = "checkpoint: the digest that it was opened for")
+    private String digest;
+
     /** The exit status: 0 done, 1 it can't be done, 2 it was not asked well. */
     public int run(PrintStream out, PrintStream err) throws InterruptedException {
         String verb = what.size() == 1 ? what.get(0) : "";
@@ -54,7 +67,18 @@
                 case "serve" -> serve();
                 case "show" -> ask("GET", "/v1/layout", null, out, err);
                 case "status", "verify" -> ask("GET", "/v1/" + verb, null, out, err);
-                case "plan", "start" -> {
+                case "migrations" -> ask("GET", "/v1/migrations", null, out, err);
+                case "pause", "resume", "rollback", "checkpoint" -> {
+                    boolean checkpoint = verb.equals("checkpoint");
+                    if (migration == null || checkpoint && (version == null || digest == null)) {
+                        err.println("layouts " + verb + ": give --migration" + (checkpoint ? ", --version and --digest"
+                                : ""));
+                        yield 2;
+                    }
+                    yield ask("POST", "/v1/" + verb + "?migration=" + migration + (checkpoint ? "&version=" + version
+                            + "&digest=" + URLEncoder.encode(digest, StandardCharsets.UTF_8) : ""), "", out, err);
+                }
+                case "plan", "start", "migrate" -> {
                     if ((file == null) == (change == null)) {
                         err.println("layouts " + verb + ": give --file or --change");
                         yield 2;
@@ -69,7 +93,8 @@
                     yield ask("POST", "/v1/abandon?" + (target ? "target=1" : "move=" + move), "", out, err);
                 }
                 default -> {
-                    err.println("layouts: say serve, show, plan, start, abandon, status or verify");
+                    err.println("layouts: say serve, show, plan, start, abandon, status, verify, migrate, migrations, "
+                            + "pause, resume, checkpoint or rollback");
                     yield 2;
                 }
             };
@@ -107,7 +132,21 @@
                         millis(info, limits + "stepMs"), millis(info, limits + "restMs"),
                         millis(info, limits + "againMs"), info.atLeast(limits + "holders", 1),
                         info.atLeast(limits + "zones", 1)),
-                info.atLeast(path + "firstSlices", 1), info.atLeast(path + "firstHolders", 1));
+                info.atLeast(path + "firstSlices", 1), info.atLeast(path + "firstHolders", 1), migration(info));
+    }
+
+    /** Null where migrations are off. */
+    private static MigrationLimits migration(Info info) {
+        String path = "layouts.migration.";
+        if (!Boolean.TRUE.equals(info.flag(path + "enabled"))) {
+            return null;
+        }
+        return new MigrationLimits(info.atLeast(path + "atOnce", 1), info.atLeast(path + "batch", 1),
+                info.atLeast(path + "movesASecond", 1), info.atLeast(path + "bytesASecond", 1),
+                millis(info, path + "starvedMs"), millis(info, path + "coldMs"), millis(info, path + "watchMs"),
+                info.number(path + "leastUtility"), millis(info, path + "againMs"),
+                info.atLeast(path + "patience", 1), info.number(path + "finestKeys").longValue(),
+                millis(info, path + "leaseMs"), millis(info, path + "driftMs"));
     }
 
     private static Duration millis(Info info, String path) {
--- a/src/main/java/postbeam/layouts/MoveLog.java
+++ b/src/main/java/postbeam/layouts/MoveLog.java
@@ -241,11 +241,16 @@
      * left it, or another stands in its place. Hurts where somebody else writes to the file, which nobody may.
      */
     private void stillInOffice() throws IOException {
-        if (channel.size() != end || Files.size(file) != end) {
+        if (!inOffice()) {
             throw new OfficeLost(new MigrationError.OfficeLost(term, file + ", which others have written to,"));
         }
     }
 
+    /** Nobody else has written to the log since this process did, as far as one can see. */
+    public boolean inOffice() throws IOException {
+        return channel.size() == end && Files.size(file) == end;
+    }
+
     /** Somebody else writes to the log. */
     static final class OfficeLost extends IOException {
         private static final long serialVersionUID = 1L;
--- a/src/main/java/postbeam/layouts/NodeOrders.java
+++ b/src/main/java/postbeam/layouts/NodeOrders.java
@@ -10,12 +10,18 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.stream.Collectors;
 import org.xnio.IoUtils;
+import postbeam.migration.Doing;
+import postbeam.migration.Said;
+import postbeam.setup.Json;
 import postbeam.setup.Startup;
 import postbeam.slices.Act;
+import postbeam.slices.KeyRange;
 import postbeam.slices.Order;
 
 /**
@@ -32,20 +38,40 @@
     /** How long an answer is waited for; nodes answer at once, with busy where the work goes on. */
     private static final Duration ANSWER_MOST = Duration.ofSeconds(1);
     private static final int ANSWER_LONGEST = 1024;
+    /** What a node says of up to 256 ranges of keys. */
+    private static final int SAID_LONGEST = 128 << 10;
+    /** Asks a node what it has: this, a number, the slice and ranges; answered with this, both, and JSON. */
+    private static final String SAY = "SAY";
 
     /** Hears which orders were done. */
     interface Done {
         void done(long move, String node, Order order, int slice);
     }
 
+    /** Hears what nodes say of what they have. */
+    interface Heard {
+        void said(long number, String node, List<Said> said);
+    }
+
     private final Done done;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
 
+    private Heard heard;
+    private Runnable stale;
+    private long term;
+
     NodeOrders(Done done) {
         this.done = done;
     }
 
+    /** From now on orders carry this term; whoever is listening hears once that a node has taken one of a higher term. */
+    synchronized void office(long next, Heard listener, Runnable overtaken) {
+        term = next;
+        heard = listener;
+        stale = overtaken;
+    }
+
     /** Where nodes are; threads and connections of those that have gone are given back. */
     synchronized void reachedAt(Map<String, String> now) {
         addresses.clear();
@@ -64,7 +90,16 @@
         if (address != null) {
             String source = tell.source() == null ? "-" : addresses.getOrDefault(tell.source(), "-");
             workers.computeIfAbsent(tell.node(), node -> new Worker(node, address)).waiting
-                    .offer(new Asked(tell, line(tell, source)));
+                    .offer(new Asked(tell, null, line(tell, source) + (term > 0 ? " " + term : "")));
+        }
+    }
+
+    synchronized void ask(Doing.Ask ask) {
+        String address = addresses.get(ask.node());
+        if (address != null) {
+            workers.computeIfAbsent(ask.node(), node -> new Worker(node, address)).waiting.offer(new Asked(null, ask,
+                    SAY + " " + ask.number() + " " + ask.slice() + " " + ask.ranges().stream().map(KeyRange::toString)
+                            .collect(Collectors.joining(","))));
         }
     }
 
@@ -79,7 +114,7 @@
         workers.clear();
     }
 
-    private record Asked(Act.Tell tell, String line) { }
+    private record Asked(Act.Tell tell, Doing.Ask ask, String line) { }
 
     /** Owner of one node's connection and thread. */
     private final class Worker implements Runnable, Closeable {
@@ -121,7 +156,11 @@
                     next.setSoTimeout((int) ANSWER_MOST.toMillis());
                 }
                 send(socket.getOutputStream(), ORDER + asked.line);
-                String[] answer = read(new DataInputStream(socket.getInputStream())).split(" ");
+                if (asked.ask != null) {
+                    said(asked.ask, read(new DataInputStream(socket.getInputStream()), SAID_LONGEST));
+                    return;
+                }
+                String[] answer = read(new DataInputStream(socket.getInputStream()), ANSWER_LONGEST).split(" ");
                 Act.Tell tell = asked.tell;
                 if (answer.length < 4 || !answer[0].equals("" + ORDER + tell.order())
                         || !answer[1].equals(String.valueOf(tell.move()))
@@ -129,7 +168,9 @@
                     throw new IOException("an answer to no order: " + String.join(" ", answer));
                 }
                 failing = false;
-                if (answer[3].equals("done")) {
+                if (answer[3].equals("stale")) {
+                    stale.run();
+                } else if (answer[3].equals("done")) {
                     done.done(tell.move(), node, tell.order(), tell.slice());
                 }
             } catch (IOException | RuntimeException e) {
@@ -143,15 +184,25 @@
             }
         }
 
+        private void said(Doing.Ask ask, String answer) throws IOException {
+            String head = ORDER + SAY + " " + ask.number() + " " + ask.slice() + " ";
+            if (!answer.startsWith(head)) {
+                throw new IOException("an answer to no question");
+            }
+            failing = false;
+            heard.said(ask.number(), node, NotedForm.said(Json.object(answer.substring(head.length())
+                    .getBytes(StandardCharsets.UTF_8))));
+        }
+
         private static void send(OutputStream out, String frame) throws IOException {
             byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
             out.write(ByteBuffer.allocate(Integer.BYTES + bytes.length).order(ByteOrder.LITTLE_ENDIAN)
                     .putInt(bytes.length).put(bytes).array());
         }
 
-        private static String read(DataInputStream in) throws IOException {
+        private static String read(DataInputStream in, int longest) throws IOException {
             int length = Integer.reverseBytes(in.readInt());
-            if (length < 1 || length > ANSWER_LONGEST) {
+            if (length < 1 || length > longest) {
                 throw new IOException("a frame of " + length + " bytes");
             }
             byte[] bytes = new byte[length];
--- a/src/main/java/postbeam/migration/Migrations.java
+++ b/src/main/java/postbeam/migration/Migrations.java
@@ -36,6 +36,8 @@
  * {@link Coordinator}, whose gate it is.
  */
 public class Migrations implements Gate {
+    /** Why a copy that differs, or that its target no longer holds, is thrown away when a migration goes on. */
+    private static final String COPIED_ANEW = "its copy was no good: copied anew";
     /** Members whose utility is kept. */
     private static final int MEMBERS_MOST = 1000;
 
@@ -43,6 +45,7 @@
     private final MigrationBook book;
     private final MigrationLimits limits;
     private final Routers routers;
+    private final Duration bornAt;
     private final Pace pace;
     private final Map<Long, Comparison> comparisons = new TreeMap<>();
     private final Map<String, Duration> startedAt = new HashMap<>();
@@ -62,6 +65,7 @@
         this.coordinator = coordinator;
         this.book = book;
         this.limits = limits;
+        this.bornAt = startedAt;
         this.routers = new Routers(limits.lease(), limits.drift(), startedAt);
         this.pace = new Pace(limits.movesASecond(), limits.bytesASecond());
         coordinator.gate(this);
@@ -127,11 +131,17 @@
             throw new ExplainedException(new MigrationError.StillSo(id, still.get().why()));
         }
         List<Doing> doings = new ArrayList<>();
+        for (Hop hop : one.hops) {
+            Move move = move(hop);
+            if (move != null) {
+                boolean behind = behindSince.remove(move.id) != null && one.cause() == Cause.STARVED;
+                Comparison comparison = comparisons.remove(move.id);
+                if ((behind || comparison != null && !comparison.differ().isEmpty()) && abandonable(move)) {
+                    abandon(doings, move, COPIED_ANEW, now);
+                }
+            }
+        }
         write(doings, new Noted.Resumed(id, now));
-        one.hops.forEach(hop -> Optional.ofNullable(move(hop)).ifPresent(move -> {
-            behindSince.remove(move.id);
-            comparisons.remove(move.id);
-        }));
         return doings;
     }
 
@@ -432,7 +442,8 @@
             if (move == null) {
                 continue;
             }
-            if (one.stage() != Stage.ROLLING_BACK && (move.state == MoveState.ABANDONING || move.turnsBack)) {
+            if (one.stage() != Stage.ROLLING_BACK && !COPIED_ANEW.equals(move.why)
+                    && (move.state == MoveState.ABANDONING || move.turnsBack)) {
                 return paused(one, Cause.MOVE_FAILED, "move " + move.id + " of slice " + hop.slice()
                         + " was abandoned: " + move.why, now);
             }
@@ -447,7 +458,8 @@
             } else {
                 behindSince.putIfAbsent(move.id, now);
             }
-            Duration from = move.state == MoveState.COPYING ? later(move.since, one.since())
+            // What stood still while no coordinator was there is given its time by the successor.
+            Duration from = move.state == MoveState.COPYING ? later(bornAt, later(move.since, one.since()))
                     : behindSince.getOrDefault(move.id, comparison == null || verified(one, move) ? now
                             : comparison.answeredAt());
             if (now.minus(from).compareTo(limits.starved()) > 0) {
--- a/src/main/java/postbeam/rig/StandInNode.java
+++ b/src/main/java/postbeam/rig/StandInNode.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
@@ -56,6 +57,9 @@
     private final ScheduledExecutorService workers;
     private ServerSocket server;
     private int waiting;
+    /** The highest term that an order came with. */
+    private long term;
+    private volatile boolean spoilt;
     /** Ends each connection's thread of an earlier life. */
     private int life;
     private volatile int slowness = 1;
@@ -256,11 +260,21 @@
 
     private void order(Socket socket, String line) throws IOException {
         String[] words = line.split(" ");
+        if (words[0].equals("SAY")) {
+            say(socket, words);
+            return;
+        }
         Order order = Order.valueOf(words[0]);
         int slice = Integer.parseInt(words[2]);
         KeyRange keys = new KeyRange(Long.parseLong(words[3]), Long.parseLong(words[4]));
         boolean done;
         synchronized (this) {
+            long by = words.length > 7 ? Long.parseLong(words[7]) : 0;
+            if (by < term) {
+                send(socket, "s" + order + " " + words[1] + " " + slice + " stale");
+                return;
+            }
+            term = by;
             boolean own = words[6].equals(dial());
             long readyAt = copies.computeIfAbsent(slice,
                     key -> System.nanoTime() + (long) (chance.nextDouble() * COPY_MOST.toNanos()));
@@ -273,6 +287,35 @@
         send(socket, "s" + order + " " + words[1] + " " + slice + " " + (done ? "done" : "busy"));
     }
 
+    /** What it has: each row is what has run of a query whose keys begin there, the same wherever it was copied to. */
+    private void say(Socket socket, String[] words) throws IOException {
+        StringBuilder said = new StringBuilder();
+        boolean has;
+        synchronized (this) {
+            has = held.of(Integer.parseInt(words[2])) != null && !hanging;
+        }
+        if (!has) {
+            return;
+        }
+        for (String range : words[3].split(",")) {
+            int dash = range.indexOf('-');
+            KeyRange keys = new KeyRange(Long.parseLong(range.substring(0, dash)),
+                    Long.parseLong(range.substring(dash + 1)));
+            TreeMap<String, KeyRange> rows = new TreeMap<>();
+            seen.runs().forEach((query, ran) -> ran.keySet().stream().filter(keys::meets)
+                    .forEach(one -> rows.put(query + " " + one, one)));
+            said.append(said.isEmpty() ? "" : ",").append(String.format("{\"from\":%d,\"to\":%d,\"open\":0,\"mark\":%d,"
+                    + "\"rows\":%d,\"bytes\":%d,\"digest\":\"%x%s\"}", keys.from(), keys.to(), rows.size(), rows.size(),
+                    100 * rows.size(), rows.toString().hashCode(), spoilt ? "x" : ""));
+        }
+        send(socket, "sSAY " + words[1] + " " + words[2] + " {\"said\":[" + said + "]}");
+    }
+
+    /** From now on it says that its rows are others than they are. */
+    void spoil(boolean now) {
+        spoilt = now;
+    }
+
     private static void send(Socket socket, String frame) throws IOException {
         byte[] bytes = frame.getBytes(StandardCharsets.UTF_8);
         byte[] framed = ByteBuffer.allocate(Integer.BYTES + bytes.length).order(ByteOrder.LITTLE_ENDIAN)
--- a/src/main/java/postbeam/rig/TrialCommand.java
+++ b/src/main/java/postbeam/rig/TrialCommand.java
@@ -15,7 +15,7 @@
 /** Runs trials: prints a line a figure, and ends with 0 if all rules held, else 1 and how to run the seed again. */
 @Parameters(commandDescription = "Run a trial against stand-ins on loopback; exit status 1 if a rule broke")
 public final class TrialCommand {
-    private static final List<Trial> TRIALS = List.of(new RecutsTrial(),
+    private static final List<Trial> TRIALS = List.of(new RecutsTrial(), new MigrationTrial(),
             new SlicesTrial("slices", Duration.ofSeconds(60), Duration.ofSeconds(1), 150, true),
             new SlicesTrial("slices-alone", Duration.ofSeconds(60), Duration.ofSeconds(1), 150, false),
             new SlicesTrial("slices-short", Duration.ofSeconds(8), Duration.ofMillis(250), 120, true));
@@ -86,7 +86,7 @@
 
     /** On the jumping clock seeds run on all cores; on sockets as many at once as was said. */
     private boolean run(Trial trial, long[] range, Printed out) {
-        int threads = trial instanceof RecutsTrial ? Runtime.getRuntime().availableProcessors() : Math.max(1, atOnce);
+        int threads = trial instanceof RecutsTrial || trial instanceof MigrationTrial ? Runtime.getRuntime().availableProcessors() : Math.max(1, atOnce);
         ForkJoinPool pool = new ForkJoinPool(threads);
         try {
             return pool.submit(() -> runAll(trial, range, out)).join();
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -219,10 +219,22 @@
         }
     }
 
-    /** A version of the layout; one that goes back is passed over. */
-    public void laidOut(Layout next) {
+    /** The version of the layout that is held; 0 for none. */
+    public long layoutHeld() {
         lock.lock();
         try {
+            return slicing.held() == null ? 0 : slicing.held().version;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A version of the layout, asked for at this time of the clock of {@link System#nanoTime}; one that goes back is
+     * passed over. */
+    public void laidOut(Layout next, long askedNanos) {
+        lock.lock();
+        try {
+            slicing.heard(Duration.ofNanos(askedNanos - startNanos));
             long before = slicing.refused();
             turn(null, now(), () -> {
                 if (slicing.told(next)) {
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -69,6 +69,8 @@
     private final boolean sliced;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
+    /** Of the question for the layout that is answered next; touched by the watch's thread alone. */
+    private long layoutAskedNanos;
     private volatile boolean listed;
     private volatile boolean laidOut;
     private volatile boolean ready;
@@ -99,7 +101,11 @@
         int partsACall = settings.atLeast("domain.partsACall", 1);
         decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing);
         sliced = slicing != null;
-        layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut) : null;
+        String named = startup.info.text("name") + "/" + Long.toHexString(System.nanoTime());
+        layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut, () -> {
+            layoutAskedNanos = System.nanoTime();
+            return LayoutWatch.says(named, decisions.layoutHeld());
+        }) : null;
         cells = settings.atLeast("domain.cells", 1);
         if (startup.known() != null) {
             listed(ListForm.read(startup.known(), cells));
@@ -163,7 +169,7 @@
     }
 
     private void laidOut(Layout layout) {
-        decisions.laidOut(layout);
+        decisions.laidOut(layout, layoutAskedNanos);
         laidOut = true;
         ready = listed;
     }
--- a/src/main/java/postbeam/slices/Slicing.java
+++ b/src/main/java/postbeam/slices/Slicing.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import postbeam.state.DataNode;
+import postbeam.state.Effect;
 import postbeam.state.Part;
 import postbeam.state.Query;
 
@@ -25,6 +26,9 @@
     private final LayoutHolders holders = new LayoutHolders();
     private Layout held;
     private long refused;
+    /** Null where layouts are held without a lease. */
+    private Duration lease;
+    private Duration leaseUntil;
 
     public LayoutHolders holders() {
         return holders;
@@ -56,6 +60,19 @@
         return true;
     }
 
+    /** From now on a layout may be gone by for so long after it was asked for. */
+    public final void lease(Duration span) {
+        lease = span;
+        leaseUntil = Duration.ZERO;
+    }
+
+    /** The layout in force was told in answer to a question of this time. */
+    public final void heard(Duration askedAt) {
+        if (lease != null && leaseUntil.compareTo(askedAt.plus(lease)) < 0) {
+            leaseUntil = askedAt.plus(lease);
+        }
+    }
+
     protected boolean follows(Layout held, Layout next) {
         return held == null || next.version > held.version;
     }
@@ -70,6 +87,11 @@
         if (held == null) {
             throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "no layout is known yet");
         }
+        // Guards what runs once against a layout long past; hurts where the layout service is away for longer.
+        if (lease != null && query.vertical.effect == Effect.SIDE_EFFECTING
+                && query.arrivedAt.compareTo(leaseUntil) >= 0) {
+            throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "the lease of layout " + held.version + " is over");
+        }
         long version = named == 0 ? held.version : named;
         if (version > held.version) {
             throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "layout " + version + " is not known yet; "
