A successor waits for the first list of nodes; a service that was stopped sees that it has lost its office

Need: found by the test with processes: before discovery had told of a node a successor paused with no ready holders, and one that woke beside its successor with nothing to write went on.

--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -247,6 +247,7 @@
                 synchronized (this) {
                     if (log != null) {
                         if (desk != null) {
+                            log.stillInOffice();
                             carryOutAll(desk.migrations().tick(now()));
                         }
                         carryOut(coordinator.tick(now()));
--- a/src/main/java/postbeam/layouts/MoveLog.java
+++ b/src/main/java/postbeam/layouts/MoveLog.java
@@ -240,7 +240,7 @@
      * Guards against one that was stopped past its lock and goes on beside its successor: the log is longer than it
      * left it, or another stands in its place. Hurts where somebody else writes to the file, which nobody may.
      */
-    private void stillInOffice() throws IOException {
+    public void stillInOffice() throws IOException {
         if (!inOffice()) {
             throw new OfficeLost(new MigrationError.OfficeLost(term, file + ", which others have written to,"));
         }
--- a/src/main/java/postbeam/migration/Comparison.java
+++ b/src/main/java/postbeam/migration/Comparison.java
@@ -44,14 +44,15 @@
     private Map<KeyRange, Said> bySource;
     private Map<KeyRange, Said> byTarget;
     private Duration askedAt;
-    private Duration answeredAt;
+    /** When a range last agreed, differed or was cut. */
+    private Duration progressAt;
 
     Comparison(String source, String target, int slice, KeyRange keys, MigrationLimits limits, Duration now) {
         this.source = source;
         this.target = target;
         this.slice = slice;
         this.limits = limits;
-        this.answeredAt = now;
+        this.progressAt = now;
         cut(keys).forEach(piece -> open.put(piece, new Doubt()));
     }
 
@@ -90,13 +91,14 @@
             byTarget = by;
         }
         if (bySource != null && byTarget != null) {
-            answeredAt = now;
             asked = 0;
+            int before = open.size();
             for (KeyRange range : List.copyOf(open.keySet())) {
                 if (bySource.containsKey(range) && byTarget.containsKey(range)) {
                     compare(range, bySource.get(range), byTarget.get(range));
                 }
             }
+            progressAt = open.size() == before ? progressAt : now;
         }
     }
 
@@ -140,8 +142,8 @@
         return open.isEmpty() && differ.isEmpty();
     }
 
-    Duration answeredAt() {
-        return answeredAt;
+    Duration progressAt() {
+        return progressAt;
     }
 
     /** Over all that agreed. */
--- a/src/main/java/postbeam/migration/Migrations.java
+++ b/src/main/java/postbeam/migration/Migrations.java
@@ -221,6 +221,9 @@
     /** What is to be done now. */
     public List<Doing> tick(Duration now) {
         List<Doing> doings = new ArrayList<>();
+        if (!coordinator.listed()) {
+            return doings;
+        }
         // Who has had the least goes first, so that a large member does not hold up the others.
         List<Migration> open = new ArrayList<>(book.open());
         open.sort(Comparator.comparingLong((Migration one) -> pace.had(one.member)).thenComparingLong(one -> one.id));
@@ -418,7 +421,8 @@
         }
         for (Hop hop : one.hops) {
             Slice slice = layout().slice(hop.slice());
-            long sound = slice.nodes().stream().filter(this::ready).count();
+            // One that was never told of is waited for: a successor knows no node before the first list.
+            long sound = slice.nodes().stream().filter(node -> coordinator.known(node) == null || ready(node)).count();
             if (sound <= 1 && slice.nodes().size() > 1) {
                 return paused(one, Cause.SHARD_THIN, "slice " + hop.slice() + " has " + sound + " ready holders", now);
             }
@@ -461,7 +465,7 @@
             // What stood still while no coordinator was there is given its time by the successor.
             Duration from = move.state == MoveState.COPYING ? later(bornAt, later(move.since, one.since()))
                     : behindSince.getOrDefault(move.id, comparison == null || verified(one, move) ? now
-                            : comparison.answeredAt());
+                            : comparison.progressAt());
             if (now.minus(from).compareTo(limits.starved()) > 0) {
                 return paused(one, Cause.STARVED, "slice " + hop.slice() + " is not copied, kept up to date or compared "
                         + "at " + move.gains.get(0).node() + " since " + now.minus(from).toMillis() + " ms", now);
--- a/src/main/java/postbeam/rig/StandInNode.java
+++ b/src/main/java/postbeam/rig/StandInNode.java
@@ -15,7 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
@@ -203,8 +203,8 @@
                 send(work.socket, "q" + work.part + " later 0 -\n");
                 return;
             }
-            boolean book = work.query.contains("book");
-            boolean repeated = book && repeated(work.query, work.keys);
+            boolean written = work.query.contains("book") || work.query.contains("hold");
+            boolean repeated = written && repeated(work.query, work.keys) && work.query.contains("book");
             if (!repeated) {
                 seen.referee().ran(seen.now().get(), work.query, work.part, work.keys);
             }
@@ -301,9 +301,9 @@
             int dash = range.indexOf('-');
             KeyRange keys = new KeyRange(Long.parseLong(range.substring(0, dash)),
                     Long.parseLong(range.substring(dash + 1)));
-            TreeMap<String, KeyRange> rows = new TreeMap<>();
-            seen.runs().forEach((query, ran) -> ran.keySet().stream().filter(keys::meets)
-                    .forEach(one -> rows.put(query + " " + one, one)));
+            TreeSet<String> rows = new TreeSet<>();
+            seen.runs().forEach((query, ran) -> ran.keySet().stream().filter(one -> at(query, one, keys))
+                    .forEach(one -> rows.add(query + " " + one)));
             said.append(said.isEmpty() ? "" : ",").append(String.format("{\"from\":%d,\"to\":%d,\"open\":0,\"mark\":%d,"
                     + "\"rows\":%d,\"bytes\":%d,\"digest\":\"%x%s\"}", keys.from(), keys.to(), rows.size(), rows.size(),
                     100 * rows.size(), rows.toString().hashCode(), spoilt ? "x" : ""));
@@ -311,6 +311,12 @@
         send(socket, "sSAY " + words[1] + " " + words[2] + " {\"said\":[" + said + "]}");
     }
 
+    /** A row lies at one of the keys that its query asked for. */
+    private static boolean at(String query, KeyRange asked, KeyRange keys) {
+        long key = asked.from() + Math.floorMod(query.hashCode() * 0x9E3779B97F4A7C15L, asked.size());
+        return keys.from() <= key && key < keys.to();
+    }
+
     /** From now on it says that its rows are others than they are. */
     void spoil(boolean now) {
         spoilt = now;
--- a/src/main/java/postbeam/slices/Coordinator.java
+++ b/src/main/java/postbeam/slices/Coordinator.java
@@ -54,6 +54,11 @@
         gate = next;
     }
 
+    /** Whether a list of nodes has come yet. */
+    public boolean listed() {
+        return !nodes.isEmpty();
+    }
+
     /** What is known of a node; null where nothing is. */
     public Target.Known known(String node) {
         return nodes.get(node);
