--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -31,6 +31,7 @@
 import postbeam.migration.MigrationLimits;
 import postbeam.migration.Migrations;
 import postbeam.migration.Said;
+import postbeam.roster.Asking;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
@@ -117,7 +118,7 @@
         this.book = new Book(place.history());
         this.coordinator = new Coordinator(book, place.limits());
         this.orders = new NodeOrders(this::done);
-        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, LongPoll.SOON);
+        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, Asking.SOON);
         moves.setDaemon(true);
     }
 
@@ -319,7 +320,7 @@
     }
 
     private void answerLayout(HttpServerExchange exchange) {
-        String router = exchange.getRequestHeaders().getFirst(LayoutWatch.ROUTER);
+        String router = text(exchange, LayoutWatch.ROUTER);
         if (desk != null && !inOffice()) {
             // A layout told now would be a lease that the successor knows nothing of.
             say(exchange, 503, "another service has taken over");
@@ -383,9 +384,9 @@
         }
         long version = number(exchange, "index", 0);
         long wait = Math.min(WAIT_MOST_MS, number(exchange, "wait", 0));
-        String router = exchange.getRequestHeaders().getFirst(LayoutWatch.ROUTER);
+        String router = text(exchange, LayoutWatch.ROUTER);
         if (desk != null && router != null) {
-            desk.migrations().routers().asked(router, held(exchange), now());
+            desk.migrations().routers().asked(router, number(exchange, LayoutWatch.HELD, 1), now());
             // So that a lease is renewed while nothing changes.
             wait = Math.min(wait, place.migration().lease().toMillis() / 3);
         }
@@ -426,13 +427,10 @@
         }
     }
 
-    private static long held(HttpServerExchange exchange) {
-        try {
-            return Long.parseLong(exchange.getRequestHeaders().getFirst(LayoutWatch.HELD));
-        } catch (NumberFormatException e) {
-            // It says nothing: the oldest that there can be.
-            return 1;
-        }
+    /** Null where it is not told. */
+    private static String text(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null ? null : values.getFirst();
     }
 
     /** The answer to a request of operators. */
--- a/src/main/java/postbeam/rig/MigrationTrial.java
+++ b/src/main/java/postbeam/rig/MigrationTrial.java
@@ -48,6 +48,11 @@
         return Stream.of(Defect.values()).map(one -> one.name().toLowerCase(Locale.ROOT).replace('_', '-')).toList();
     }
 
+    @Override
+    public boolean jumps() {
+        return true;
+    }
+
     static Migrations planted(Defect defect, Coordinator coordinator, MigrationBook book, Duration now) {
         return defect == null ? new Migrations(coordinator, book, MigrationChief.LIMITS, now)
                 : new Migrations(coordinator, book, MigrationChief.LIMITS, now) {
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntFunction;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -23,6 +22,7 @@
 import postbeam.discovery.LongPoll;
 import postbeam.discovery.Watch;
 import postbeam.layouts.LayoutWatch;
+import postbeam.pages.Ask;
 import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
@@ -60,17 +60,21 @@
     private final ClientDoor rehearsalDoor;
     private Startup held;
     private LongPoll<Told> watch;
-    /** How long discovery is left alone after so many failures. */
-    private final IntFunction<Duration> pace;
+    /** How discovery is asked. */
+    private final Asking.Pace pace;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
     private final LeaveTimes leaveTimes;
     private final boolean sliced;
+    /** Null where no pages are given. */
+    private final Paging paging;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
     /** Of the question for the layout that is answered next; touched by the watch's thread alone. */
     private long layoutAskedNanos;
+    /** Null where nothing runs beside it. */
+    private Beside beside;
     private volatile boolean listed;
     private volatile boolean laidOut;
     private volatile boolean ready;
@@ -81,6 +85,11 @@
 
     /** Where slices move: what makes of the layout what it decides, and where the layout is told. */
     public Router(Startup startup, Slicing slicing, String layouts) throws IOException {
+        this(startup, slicing, layouts, null);
+    }
+
+    /** Where pages are given too: the paging, else null. It needs slices. */
+    public Router(Startup startup, Slicing slicing, String layouts, Paging paging) throws IOException {
         check(startup);
         Info settings = startup.settings;
         String listen = startup.address("listen");
@@ -99,7 +108,8 @@
         int rehearsedShards = settings.atLeast("domain.shards", 1);
         Set<String> owners = Assembly.customers(settings).keySet();
         int partsACall = settings.atLeast("domain.partsACall", 1);
-        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing);
+        decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing, paging);
+        this.paging = paging;
         sliced = slicing != null;
         String named = startup.info.text("name") + "/" + Long.toHexString(System.nanoTime());
         layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut, () -> {
@@ -117,6 +127,9 @@
                 !"none".equals(String.valueOf(settings.text("report.how"))));
         clients = new ClientDoor(worker, Startup.socketAddress(listen), this, usualWaits,
                 owners, shards, clientsMost);
+        if (paging != null) {
+            clients.pages(paging.rowsMost());
+        }
         rehearsal = new Rehearsal(new Decisions(settings, startup.seed(), partsACall, connectWithin, null),
                 settings.text("zone"), cells, List.copyOf(usualWaits.keySet()), owners.stream().findFirst().orElse(null),
                 rehearsedShards);
@@ -124,8 +137,7 @@
         held = startup;
         Random chance = new Random(startup.seed());
         Duration askEvery = settings.span("obligations.askEvery");
-        pace = "subscribe".equals(settings.text("discovery"))
-                ? failures -> Asking.pause(failures, askEvery, chance) : LongPoll.SOON;
+        pace = "subscribe".equals(settings.text("discovery")) ? Asking.priced(askEvery, chance) : Asking.FREE;
         watch = Watch.of(discovery, cells, this::listed, pace);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
@@ -174,6 +186,13 @@
         ready = listed;
     }
 
+    /** What runs beside it; to be called before it starts. */
+    public Router with(Beside other) {
+        beside = other;
+        other.forms(clients);
+        return this;
+    }
+
     /** Starts to serve; an IOException says why it can't listen. */
     public void start() throws IOException {
         thread("ticks", this::ticks);
@@ -187,6 +206,9 @@
         rehearsalDoor.rehearse(rehearsal::request, REHEARSED, REHEARSAL_MOST);
         rehearsalDoor.stop();
         clients.start();
+        if (beside != null) {
+            beside.start();
+        }
         LOG.log(System.Logger.Level.INFO, started);
     }
 
@@ -282,11 +304,31 @@
 
     @Override
     public Step serve(OpenQuery q) throws InterruptedException {
+        Step last = served(q);
+        return q.paged != null && last instanceof Step.Answer answer
+                ? paging.given(q, answer, asks -> further(q, asks)) : last;
+    }
+
+    /** Asks again for the page; null where that may not be. */
+    private Paged further(OpenQuery first, List<Ask> asks) throws InterruptedException {
+        OpenQuery q = decisions.takeFurther(first, asks);
+        if (q == null) {
+            return null;
+        }
+        served(q);
+        return q.paged;
+    }
+
+    /** Serves the query until its last step. */
+    private Step served(OpenQuery q) throws InterruptedException {
         while (true) {
             Step step = decisions.pick(q);
             if (step instanceof Step.Send || step instanceof Step.GiveUp) {
                 carryOut(step);
             } else {
+                if (q.paged != null) {
+                    decisions.cameFor(q);
+                }
                 return step;
             }
         }
@@ -315,6 +357,9 @@
         while (System.nanoTime() - asked < leaveTimes.servesOn().toNanos() && !on(clients::unused)) {
             Thread.sleep(LOOK.toMillis());
         }
+        if (beside != null) {
+            beside.stop();
+        }
         clients.close();
         // The last look is taken where requests are read, so none can be begun after it.
         while (!on(clients::idle)) {
--- a/src/main/java/postbeam/slices/Slicing.java
+++ b/src/main/java/postbeam/slices/Slicing.java
@@ -84,14 +84,14 @@
      * joined to the slices in force. An Unroutable says why it can't be done, and nothing has been done then.
      */
     public final void take(Query query, long named, List<Asking> askings) throws Unroutable {
+        takeKeys(query, named == 0 && held != null ? held.version : named, named(named, askings));
+    }
+
+    /** The keys of what a client names by a version that it knows; an Unroutable says why they can't be found. */
+    public final List<Pin.Named> named(long named, List<Asking> askings) throws Unroutable {
         if (held == null) {
             throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "no layout is known yet");
         }
-        // Guards what runs once against a layout long past; hurts where the layout service is away for longer.
-        if (lease != null && query.vertical.effect == Effect.SIDE_EFFECTING
-                && query.arrivedAt.compareTo(leaseUntil) >= 0) {
-            throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "the lease of layout " + held.version + " is over");
-        }
         long version = named == 0 ? held.version : named;
         if (version > held.version) {
             throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "layout " + version + " is not known yet; "
@@ -102,7 +102,6 @@
                     + held.version + " is in force");
         }
         List<Pin.Named> names = new ArrayList<>();
-        List<Fragment> fragments = new ArrayList<>();
         for (Asking asking : askings) {
             KeyRange keys = held.keysOf(asking.slice(), version);
             if (keys == null) {
@@ -110,9 +109,20 @@
                         + asking.slice());
             }
             names.add(new Pin.Named(asking.slice(), keys, asking.weight(), asking.work()));
-            fragments.addAll(Fragment.cut(held, keys));
         }
-        fragments = Fragment.joined(fragments);
+        return names;
+    }
+
+    /** Gives the query its parts: these keys, which are apart, cut and joined to the slices in force. */
+    public final void takeKeys(Query query, long version, List<Pin.Named> names) throws Unroutable {
+        // Guards what runs once against a layout long past; hurts where the layout service is away for longer.
+        if (lease != null && query.vertical.effect == Effect.SIDE_EFFECTING
+                && query.arrivedAt.compareTo(leaseUntil) >= 0) {
+            throw new Unroutable(Unroutable.Reason.NOT_KNOWN_YET, "the lease of layout " + held.version + " is over");
+        }
+        List<Fragment> cut = new ArrayList<>();
+        names.forEach(one -> cut.addAll(Fragment.cut(held, one.keys())));
+        List<Fragment> fragments = Fragment.joined(cut);
         if (fragments.size() > PARTS_MOST) {
             throw new Unroutable(Unroutable.Reason.NO_SUCH_SLICE, "the query would take " + fragments.size() + " parts");
         }
--- a/src/test/java/postbeam/rig/MigrationIT.java
+++ b/src/test/java/postbeam/rig/MigrationIT.java
@@ -67,7 +67,8 @@
     }
 
     private String settings(String name, String listen) throws IOException {
-        String file = Files.readString(Path.of("deploy/postbeam.json5")).replace("enabled: false", "enabled: true")
+        String file = Files.readString(Path.of("deploy/postbeam.json5"))
+                .replaceAll("(follow: \\{|serve: \\{\\s*|migration: \\{\\s*)enabled: false", "$1enabled: true")
                 .replace("127.0.0.1:7080", listen).replace("127.0.0.1:8500", discovery.address())
                 .replace("\"moves.log\"", "\"" + log + "\"").replace("firstSlices: 64", "firstSlices: 4")
                 .replace("firstHolders: 3", "firstHolders: 2").replace("holders: 3", "holders: 2")
