--- a/src/main/java/postbeam/Main.java
+++ b/src/main/java/postbeam/Main.java
@@ -10,6 +10,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import postbeam.benchlink.Door;
@@ -157,15 +158,24 @@
         }
         String service = follows ? own.needed("layouts.follow.service") : null;
         Router router = pages ? Paged.router(startup, service, own)
-                : follows ? new Router(startup, new Slicing(), service) : new Router(startup);
+                : follows ? new Router(startup, slicing(own), service) : new Router(startup);
         return Boolean.TRUE.equals(own.flag("together.enabled")) ? router.with(together(own)) : router;
     }
 
+    /** Where members migrate a layout is held for a lease. */
+    private static Slicing slicing(Info own) {
+        Slicing slicing = new Slicing();
+        if (Boolean.TRUE.equals(own.flag("layouts.migration.enabled"))) {
+            slicing.lease(Duration.ofMillis(own.atLeast("layouts.migration.leaseMs", 1)));
+        }
+        return slicing;
+    }
+
     /** Apart, so that nothing of pages is loaded where they are off. */
     private static final class Paged {
         static Router router(Startup startup, String service, Info own) throws IOException {
             try {
-                return new Router(startup, new Slicing(), service, new Paging(own.needed("pages.key"),
+                return new Router(startup, slicing(own), service, new Paging(own.needed("pages.key"),
                         own.text("pages.oldKey"), own.atLeast("pages.rows", 1)));
             } catch (ExplainedException e) {
                 throw new IOException(e.getMessage(), e);
--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import postbeam.roster.Asking;
 
@@ -23,8 +24,12 @@
         T read(byte[] body) throws IOException;
     }
 
-    /** What is followed: its name in the log, where it is, and the most bytes that it may tell at once. */
-    public record Source(String name, String address, String path, int longest) { }
+    /** What is followed: its name in the log, where it is, the most bytes that it may tell, and what is said with each question. */
+    public record Source(String name, String address, String path, int longest, Supplier<String> says) {
+        public Source(String name, String address, String path, int longest) {
+            this(name, address, path, longest, () -> "");
+        }
+    }
 
     private final Source source;
     private final HttpGet http;
@@ -98,7 +103,9 @@
     }
 
     private T ask(String query, Duration within) throws IOException {
-        return reading.read(http.get(source.path() + query, source.longest(), within, pace.answer()));
+        String says = source.says().get();
+        String asked = source.path() + query + (says.isEmpty() ? "" : (query.isEmpty() ? "?" : "&") + says);
+        return reading.read(http.get(asked, source.longest(), within, pace.answer()));
     }
 
     /** Once it returns nothing more is told; a call that waits is broken off. */
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -71,6 +71,8 @@
     private final Paging paging;
     /** Null where no slices move. */
     private final LongPoll<Layout> layoutWatch;
+    /** Of the question for the layout that is answered next; touched by the watch's thread alone. */
+    private long layoutAskedNanos;
     /** Null where nothing runs beside it. */
     private Beside beside;
     private volatile boolean listed;
@@ -109,7 +111,11 @@
         decisions = new Decisions(settings, startup.seed(), partsACall, connectWithin, slicing, paging);
         this.paging = paging;
         sliced = slicing != null;
-        layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut) : null;
+        String named = startup.info.text("name") + "/" + Long.toHexString(System.nanoTime());
+        layoutWatch = sliced ? LayoutWatch.of(layouts, this::laidOut, () -> {
+            layoutAskedNanos = System.nanoTime();
+            return LayoutWatch.says(named, decisions.layoutHeld());
+        }) : null;
         cells = settings.atLeast("domain.cells", 1);
         if (startup.known() != null) {
             listed(ListForm.read(startup.known(), cells));
@@ -175,7 +181,7 @@
     }
 
     private void laidOut(Layout layout) {
-        decisions.laidOut(layout);
+        decisions.laidOut(layout, layoutAskedNanos);
         laidOut = true;
         ready = listed;
     }
