--- a/src/main/java/postbeam/rig/PagesWorld.java
+++ b/src/main/java/postbeam/rig/PagesWorld.java
@@ -354,7 +354,8 @@
     private void whole(List<Row> chain, boolean everMissing) {
         List<Row> expected = new ArrayList<>();
         for (Row row : SortedRows.sorted(order, rows, KeyRange.ALL)) {
-            if (asked.stream().anyMatch(one -> one.keys().from() <= row.at().key() && row.at().key() < one.keys().to())) {
+            long key = row.at().key();
+            if (asked.stream().anyMatch(one -> one.keys().from() <= key && key < one.keys().to())) {
                 expected.add(row);
             }
         }
