--- a/src/main/java/postbeam/rig/ProcessFleet.java
+++ b/src/main/java/postbeam/rig/ProcessFleet.java
@@ -103,8 +103,8 @@
             children.put(DISCOVERY, new Child(DISCOVERY, standIn("discovery", askers.size())));
             for (int i = 0; i < size.nodes(); i++) {
                 String name = "n" + i;
-                children.put(name, new Child(name, standIn("node", name, "z" + i % 3, folder, startNanos, seed * 1009 + i,
-                        size.sliced(), WORK.toNanos() / 1000)));
+                children.put(name, new Child(name, standIn("node", name, "z" + i % 3, folder, startNanos,
+                        seed * 1009 + i, size.sliced(), WORK.toNanos() / 1000)));
             }
             for (String name : askers) {
                 addresses.put(name, Stage.freeAddress());
@@ -152,8 +152,8 @@
     /** What routers are promised here, with what the clients say of the work. */
     static Referee referee(Duration slack) {
         Referee.Rules rules = Stage.RULES;
-        return new Referee(new Referee.Rules(rules.coldFrom(), RAMP, rules.fallMultiple(), rules.fall(), rules.warmWork(),
-                rules.freeFurther(), rules.furtherShare(), rules.furtherSpan(), rules.repeatWindow()),
+        return new Referee(new Referee.Rules(rules.coldFrom(), RAMP, rules.fallMultiple(), rules.fall(),
+                rules.warmWork(), rules.freeFurther(), rules.furtherShare(), rules.furtherSpan(), rules.repeatWindow()),
                 Duration.ofSeconds(2), slack);
     }
 
@@ -177,8 +177,10 @@
         String config = Stage.config(name, "z" + number % 3, addresses.get(name), way(name, DISCOVERY).address(),
                 seed * 31 + number, size.routers(), size.shards()).replace("\"rampTime\":2000000",
                 "\"rampTime\":" + RAMP.toNanos() / 1000);
-        Path file = Files.writeString(folder.resolve(name + ".json"), size.altered().text(this, name + ".json", config));
-        List<String> command = new ArrayList<>(List.of("/bin/sh", "deploy/run.sh", "serve", "--config", file.toString()));
+        Path file = Files.writeString(folder.resolve(name + ".json"), size.altered().text(this,
+                name + ".json", config));
+        List<String> command = new ArrayList<>(List.of("/bin/sh", "deploy/run.sh", "serve", "--config",
+                file.toString()));
         String own = size.altered().text(this, name + ".json5", !size.sliced() ? ""
                 : "{layouts: {follow: {enabled: true, service: \"" + way(name, LAYOUTS).address() + "\"}}}");
         if (!own.isEmpty()) {
@@ -190,8 +192,8 @@
     private String serviceSettings() {
         return "{layouts: {serve: {enabled: true, listen: \"" + addresses.get(LAYOUTS) + "\", log: \""
                 + folder.resolve("moves.log") + "\", discovery: \"" + way(LAYOUTS, DISCOVERY).address()
-                + "\", history: 40, firstSlices: " + size.shards() + ", firstHolders: 3, limits: {moves: 2, movesANode: 2, "
-                + "movesAZone: 3, copyMs: 5000, stepMs: 5000, restMs: 0, againMs: 50, holders: 2, zones: 2}}}}";
+                + "\", history: 40, firstSlices: " + size.shards() + ", firstHolders: 3, limits: {moves: 2, "
+                + "movesANode: 2, movesAZone: 3, copyMs: 5000, stepMs: 5000, restMs: 0, againMs: 50, holders: 2, zones: 2}}}}";
     }
 
     private void launch(Child child, String last) throws IOException {
@@ -228,7 +230,8 @@
             addresses.put(to, Stage.freeAddress());
         }
         String at = addresses.get(to);
-        return at == null ? null : Startup.socketAddress(to.equals(DISCOVERY) ? at.split(",")[askers.indexOf(from)] : at);
+        return at == null ? null : Startup.socketAddress(to.equals(DISCOVERY) ? at.split(",")[askers.indexOf(from)]
+                : at);
     }
 
     /**
@@ -285,7 +288,8 @@
         StringBuilder text = new StringBuilder();
         for (Child child : children.values()) {
             if (child.process != null && !child.process.isAlive()) {
-                text.append("; ").append(child.name).append(" ended: ").append(Files.readString(child.output()).strip());
+                text.append("; ").append(child.name).append(" ended: ")
+                        .append(Files.readString(child.output()).strip());
             }
         }
         return text.toString();
--- a/src/main/java/postbeam/rig/Relay.java
+++ b/src/main/java/postbeam/rig/Relay.java
@@ -26,7 +26,7 @@
     /** What is done to a way. */
     enum Fault {
         NONE,
-        /** Nothing passes and no connection comes up; those that felt it are reset when it ends, as by a machine back. */
+        /** Nothing passes and no connection comes up; what felt it is reset when it ends, as by a machine back. */
         CUT,
         /** Connections come up; what is sent is taken and lost, and they are reset when it ends. */
         SILENT,
--- a/src/main/java/postbeam/rig/Testimony.java
+++ b/src/main/java/postbeam/rig/Testimony.java
@@ -32,8 +32,8 @@
     }
 
     @Override
-    public void asked(Duration now, String id, String router, Referee.Kind kind, double need, double floor, long version,
-            List<Referee.Wanted> wanted, Duration until) {
+    public void asked(Duration now, String id, String router, Referee.Kind kind, double need, double floor,
+            long version, List<Referee.Wanted> wanted, Duration until) {
         add(now, to -> to.asked(now, id, router, kind, need, floor, version, wanted, until));
     }
 
--- a/src/main/java/postbeam/rig/TogetherTrial.java
+++ b/src/main/java/postbeam/rig/TogetherTrial.java
@@ -30,7 +30,8 @@
         ALTERED.put("whole-budget", config -> config.replace("\"nInstances\":" + ROUTERS, "\"nInstances\":1")
                 .replace("\"fallMultiple\":2", "\"fallMultiple\":8"));
         ALTERED.put("holds-repeat", config -> config.replace("\"effect\":\"fragile\"", "\"effect\":\"retryable\""));
-        ALTERED.put("low-floor", config -> config.replace("\"leastShare\":[0.75,0.5,1,1]", "\"leastShare\":[0.1,0.1,1,1]"));
+        ALTERED.put("low-floor", config -> config.replace("\"leastShare\":[0.75,0.5,1,1]",
+                "\"leastShare\":[0.1,0.1,1,1]"));
     }
 
     @Override
