--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -346,8 +346,12 @@
         }
     }
 
-    /** A version of the layout, asked for at this time of the clock of {@link System#nanoTime}; one that goes back is
-     * passed over. */
+    /** A version of the layout that was asked for just now. */
+    public void laidOut(Layout next) {
+        laidOut(next, System.nanoTime());
+    }
+
+    /** A version of the layout and when it was asked for, by {@link System#nanoTime}; one that goes back is passed over. */
     public void laidOut(Layout next, long askedNanos) {
         lock.lock();
         try {
