A router refuses settings that can't be meant, each told in one line by its key

Seen: an effect of an unknown word was taken for side-effecting in silence (Assembly.vertical, default branch); a negative, zero, NaN or boundless promise, deadline or limit was taken, NaN as a span of 0 (Info.span); a whole number beyond 32 bits wrapped around (Info.whole); a flag of any other word was false (Info.flag); a list shorter than the classes fell back to defaults (Info.listed); of two classes of one name the later stood; limits, obligations or tenants of another kind than their own passed for absent; settings with no class passed the check, though a rehearsal divides by their number.

Now Checks.settings looks at them, called by Router.check, so at the start (status 1) and at SIGHUP (what is held stays). Finite numbers, overflow, flags and effects are refused where they are read, so on the simulator's wire too. Defaults of what is silent stand as constants in Assembly; a missing effect stays side-effecting, the strictest.

Absent deadlines and optional members stay allowed; unknown members are passed over. leastShare over classNeed by rounding alone is taken.

No existing test was changed.

--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -26,6 +26,7 @@
 import postbeam.roster.Asking;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
+import postbeam.setup.Checks;
 import postbeam.setup.Info;
 import postbeam.setup.Startup;
 import postbeam.slices.Layout;
@@ -152,15 +153,8 @@
         startup.seed();
         startup.limit("sockets", LEAST_DESCRIPTORS);
         startup.limit("memory_mb", LEAST_MB);
-        for (String span : new String[] {"caps.connectTimeout", "caps.keepalive"}) {
-            settings.needed(span);
-            settings.span(span);
-        }
-        settings.atLeast("caps.maxStreams", 1);
-        settings.atLeast("domain.partsACall", 1);
-        settings.atLeast("domain.shards", 1);
+        Checks.settings(settings);
         for (int i = 0; i < settings.count("classes"); i++) {
-            settings.span("classes." + i + ".deadline");
             if (settings.listed("domain.followUp", i) != null && settings.listed("domain.followUp", i) > 0) {
                 throw settings.bad("domain.followUp", "asks for a second step, which has no form on sockets");
             }
--- a/src/main/java/postbeam/setup/Assembly.java
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -13,6 +13,17 @@
 
 /** Builds what the decisions need from the settings that an instance is told, for every door alike. */
 public final class Assembly {
+    // ---- defaults where the settings are silent; each is the protocol's, none one deployment's
+    /** What a second run of a part does where no effect is told: the strictest, so that nothing runs twice. */
+    private static final Effect EFFECT = Effect.SIDE_EFFECTING;
+    /** Worth of a whole answer: all classes' the same. */
+    private static final double WORTH = 1;
+    /** Share of the worth that a late answer keeps, and that one not marked whole does: none is promised. */
+    private static final double LATE_WORTH = 0;
+    private static final double SHORT_WORTH = 0;
+    /** Share of the weight that makes an answer whole: all of it. The least for any answer is then that too. */
+    private static final double NEED = 1;
+
     private Assembly() {}
 
     public static Fleet fleet(Info info) {
@@ -29,10 +40,12 @@
     }
 
     private static Vertical vertical(Info info, String path, int i) {
-        Effect effect = switch (String.valueOf(info.text(path + "effect"))) {
+        String word = info.text(path + "effect");
+        Effect effect = word == null ? EFFECT : switch (word) {
             case "retryable" -> Effect.REPEATABLE;
             case "dedup" -> Effect.DEDUPLICATED;
-            default -> Effect.SIDE_EFFECTING;
+            case "fragile" -> Effect.SIDE_EFFECTING;
+            default -> throw info.bad(path + "effect", "must be retryable, dedup or fragile, not " + word);
         };
         info.needed(path + "promise");
         Double utility = info.number(path + "worth");
@@ -41,14 +54,14 @@
         Double floor = info.listed("domain.leastShare", i);
         Double shortUtility = info.listed("domain.shortWorth", i);
         Double followUp = info.listed("domain.followUp", i);
-        double whole = need == null ? 1 : need;
+        double whole = need == null ? NEED : need;
         double least = floor == null ? whole : floor;
         Vertical one = new Vertical(info.span(path + "promise"), effect, info.span(path + "repeatWindow"),
-                utility == null ? 1 : utility, late == null ? 0 : late, whole, least,
-                shortUtility == null ? 0 : shortUtility);
+                utility == null ? WORTH : utility, late == null ? LATE_WORTH : late, whole, least,
+                shortUtility == null ? SHORT_WORTH : shortUtility);
         one.allWait = info.span(path + "deadline");
         return followUp == null || followUp < 1 ? one : one.followedBy(new Vertical(one.sloTime, effect,
-                one.repeatWindow, one.utility, one.lateUtility, 1, least < whole ? least : 1, one.shortUtility));
+                one.repeatWindow, one.utility, one.lateUtility, NEED, least < whole ? least : NEED, one.shortUtility));
     }
 
     public static Map<String, Customer> customers(Info info) {
--- a/src/main/java/postbeam/setup/Info.java
+++ b/src/main/java/postbeam/setup/Info.java
@@ -11,6 +11,9 @@
 
 /** What an instance is told at its start, as path=value pairs; what is absent is null. */
 public final class Info {
+    /** Nanoseconds: the unit of spans here is the microsecond, of {@link Duration} this. */
+    private static final int NANOS_A_MICRO = 1000;
+
     private final Map<String, String> values = new LinkedHashMap<>();
     /** Stands before a path where a message names it. */
     private final String prefix;
@@ -90,6 +93,9 @@
 
     public Integer whole(String path) {
         Double value = number(path);
+        if (value != null && Math.abs(value) > Integer.MAX_VALUE) {
+            throw bad(path, "is too large: " + text(path));
+        }
         return value == null ? null : (int) Math.round(value);
     }
 
@@ -103,14 +109,24 @@
         return value;
     }
 
+    /** True or false, or as the simulator's wire has them, 1 or 0. */
     public Boolean flag(String path) {
         String value = text(path);
-        return value == null ? null : value.equals("true") || value.equals("1");
+        if (value == null) {
+            return null;
+        }
+        if (!Set.of("true", "1", "false", "0").contains(value)) {
+            throw bad(path, "must be true or false, not " + value);
+        }
+        return value.equals("true") || value.equals("1");
     }
 
     public Duration span(String path) {
         Double value = number(path);
-        return value == null ? null : Duration.ofNanos(Math.round(value * 1000));
+        if (value != null && Math.abs(value) >= (double) Long.MAX_VALUE / NANOS_A_MICRO) {
+            throw bad(path, "is beyond any time: " + text(path));
+        }
+        return value == null ? null : Duration.ofNanos(Math.round(value * NANOS_A_MICRO));
     }
 
     /** One entry of a list of plain values. */
@@ -120,6 +136,17 @@
         return i < list.size() ? parsed(path, list.get(i)) : null;
     }
 
+    /** Whether something stands under the path, or it has a value itself. */
+    public boolean told(String path) {
+        return text(path) != null || values.keySet().stream().anyMatch(one -> one.startsWith(path + "."));
+    }
+
+    /** How many entries a list of plain values has; 0 where it is absent or empty. */
+    public int entries(String path) {
+        String value = text(path);
+        return value == null ? 0 : value.split(",", -1).length;
+    }
+
     public int count(String path) {
         Integer value = whole(path + ".count");
         return value == null ? 0 : value;
@@ -131,10 +158,16 @@
     }
 
     private Double parsed(String path, String value) {
+        double number;
         try {
-            return Double.valueOf(value);
+            number = Double.parseDouble(value);
         } catch (NumberFormatException e) {
             throw bad(path, "is not a number: " + value);
         }
+        // Neither of these compares as a bound expects, and a span of NaN would be 0.
+        if (!Double.isFinite(number)) {
+            throw bad(path, "is not a finite number: " + value);
+        }
+        return number;
     }
 }
--- a/src/main/java/postbeam/setup/Startup.java
+++ b/src/main/java/postbeam/setup/Startup.java
@@ -11,7 +11,10 @@
     /** What stands in a variable of the environment too, for a file that lacks it. */
     private static final Map<String, String> FROM_ENVIRONMENT = Map.of("name", "BALANCER_NAME",
             "listen", "BALANCER_LISTEN", "discovery", "BALANCER_DISCOVERY");
+    /** Descriptors and MB where no limits are told: what the deploy page names for scored days, which tell theirs. */
     private static final Map<String, Integer> USUAL_LIMITS = Map.of("sockets", 1024, "memory_mb", 192);
+    /** MB: 16 TB, beyond any machine; what is worked out of it stays a whole number. */
+    private static final int MOST_MB = 1 << 24;
 
     private final Map<String, Object> told;
     /** All of it but the list, by path; and the settings, as the simulator's wire names them. */
@@ -49,10 +52,15 @@
         return new Startup(told, map(Json.member(told, "settings", Map.class)));
     }
 
-    /** A limit of the machine; where none is told, the least that a scored day gives. */
+    /** A limit of the machine; where none is told, the usual one. */
     public int limit(String name, int least) {
+        Checks.object(info, "limits");
         String path = "limits." + name;
-        return info.text(path) == null ? USUAL_LIMITS.get(name) : info.atLeast(path, least);
+        int limit = info.text(path) == null ? USUAL_LIMITS.get(name) : info.atLeast(path, least);
+        if (name.equals("memory_mb") && limit > MOST_MB) {
+            throw info.bad(path, "must be " + MOST_MB + " or less, not " + info.text(path));
+        }
+        return limit;
     }
 
     @SuppressWarnings("unchecked")
