--- a/src/main/java/postbeam/setup/Checks.java
+++ b/src/main/java/postbeam/setup/Checks.java
@@ -14,6 +14,8 @@
 public final class Checks {
     /** The longest time that can be meant: a day. No client, connection or rule of the protocol spans more. */
     private static final Duration LONGEST = Duration.ofDays(1);
+    /** The longest that a repeat may be known as one: data nodes may keep ids for longer than any client waits. */
+    private static final Duration LONGEST_KEPT = Duration.ofDays(366);
     /** Cells: more than a list within its limit of 256 KiB can tell nodes of, and few enough to keep one by one. */
     private static final int MOST_CELLS = 1 << 16;
     /** Of a share: two that are meant to be equal may have been rounded apart. */
@@ -35,11 +37,10 @@
         }
         info.needed("caps.connectTimeout");
         info.needed("caps.keepalive");
-        above(info, "caps.connectTimeout", "caps.keepalive", "obligations.fall", "obligations.askEvery",
-                "obligations.extraWindow");
-        // Zero says here: no advice, no cost of a call, warm at once, no send after it was told.
-        notBelow(info, "caps.maxRetryAfter", "domain.callCost", "obligations.rampTime",
-                "obligations.stopSendingWithin");
+        above(info, "caps.connectTimeout", "caps.keepalive", "obligations.fall", "obligations.extraWindow");
+        // Zero says here: no advice, no cost of a call, warm at once, no send after it was told, asked at will.
+        notBelow(info, LONGEST, "caps.maxRetryAfter", "domain.callCost", "obligations.rampTime",
+                "obligations.stopSendingWithin", "obligations.askEvery");
         flags(info, "caps.mayDuplicate", "caps.cancelling", "caps.probes", "caps.retryAfter");
         between(info, "obligations.coldFrom", 0, 1);
         between(info, "obligations.budgetShare", 0, Double.MAX_VALUE);
@@ -68,7 +69,7 @@
         // A deadline may be absent: clients then tell theirs with each query.
         above(info, path + "promise", path + "deadline");
         // Told for all classes, used for deduplicated ones; without it, or at zero, no repeat is ever dropped.
-        notBelow(info, path + "repeatWindow");
+        notBelow(info, LONGEST_KEPT, path + "repeatWindow");
     }
 
     /** The lists that have an entry for each class. */
@@ -144,11 +145,12 @@
         }
     }
 
-    private static void notBelow(Info info, String... paths) {
+    private static void notBelow(Info info, Duration most, String... paths) {
         for (String path : paths) {
             Duration span = info.span(path);
-            if (span != null && (span.isNegative() || span.compareTo(LONGEST) > 0)) {
-                throw info.bad(path, "must be 0 or more and up to a day in microseconds, not " + info.text(path));
+            if (span != null && (span.isNegative() || span.compareTo(most) > 0)) {
+                throw info.bad(path, "must be 0 or more and up to " + (most == LONGEST ? "a day" : "a year")
+                        + " in microseconds, not " + info.text(path));
             }
         }
     }
