Cold nodes: all routers together keep the budget, whatever comes, but for chance

Seen by adding up what the lots let pass (ColdPacing.allows): a router was open to a cold node where its lot, times what it usually sends, was under half of the even share; an open one might send a part, or an eighth of the budget, in a window. Where little is usual (thin traffic, or a router that has just started and knows of none) all were open: with 100 routers that want the node at once 100 parts or more against N = 8. The bound held on the mean of usual traffic alone. Three further leaks: a part counts when it is decided on, and goes up to a connect time-out later, many together; a router that has just started has forgotten what it sent before; light parts pass sooner than heavy ones, and each router has some.

Now each router's share of a window is COLD_SAFETY * N / R, rounded by its lot where that is less than a part: it may send while what it sent plus lot x the part stays within the share. So the sum over all routers, with all wanting all the time, has 0.9 N as its mean and at most its root as the spread: 2 x root of N + 2 beyond N is 3 spreads away (N = 8: 3.2, 17: 3.05, 30: 3.1). A window counts for longer by caps.connectTimeout; what was cold before the router started gets nothing in the router's first window; a light part is weighed as a usual one.

A deduplicated part that may have run carries the time by which its further call must have gone (LeafCall.sendBy): it was decided on in the window and might be sent after it, once its connection was up.

Measured, DecideTest, all routers wanting the node all the time, 1000 windows each, parts of 60 to 140 ms: 20 routers N 8, 12, 16: mean 6.9, 10.4, 14.0; 30: 7.0, 10.4, 13.8; 100: 7.0, 10.4, 13.8; beyond N + 2 root N + 2: 0 windows but for 2 at 100 routers, N 12. With light parts not weighed as usual the same test failed: "20 routers, N 8.0: 9.778 on the mean".

--- a/src/main/java/postbeam/Decide.java
+++ b/src/main/java/postbeam/Decide.java
@@ -70,10 +70,8 @@
     private static final double WARM_WORK = 2.0;
     /** Share of a cold node's budget that is used: the rest is for what travels while it is counted. */
     private static final double COLD_SAFETY = 0.9;
-    /** Share of the budget that all routers may use together by lot, on the mean: the rest is for chance. */
-    private static final double COLD_LOT = 0.5;
-    /** Calls that a cold node's budget holds at least where routers are open to it by lot. */
-    private static final double COLD_CALLS = 8;
+    /** Routers from which their even shares of a cold node's budget are so small that lots round them. */
+    private static final int COLD_LOTS_FROM = 9;
     /** Share of the limit on held queries and parts from which the router is crowded. */
     private static final double CROWDED_SHARE = 0.7;
     /** How long a crash counts as a sign of queries that crash nodes, and how many such tell of them. */
@@ -469,6 +467,9 @@
         cold.sent(now, node, fleet.tookAt(part.shard, node), cold.work(part, quiet(part.query.vertical)));
         LeafCall call = new LeafCall(part, node, now, timeout(now, part.query));
         call.scout = scouted(now, part.query);
+        // What is decided on in the window may wait for a connection past its end.
+        call.sendBy = part.query.vertical.effect != Effect.DEDUPLICATED || part.mayHaveRunSince == null ? null
+                : part.mayHaveRunSince.plus(part.query.vertical.repeatWindow).minus(LOOK);
         node.zone.trial = node.zone.strikes > 0 && !shunned(now, node.zone) ? call : node.zone.trial;
         inFlight++;
         host.send(call);
@@ -551,9 +552,10 @@
         double bestRank = Double.MAX_VALUE;
         for (int i = 0; i < replicas.size(); i++) {
             DataNode node = replicas.get((part.query.offset + i) % replicas.size());
-            Duration work = cold.work(part, quiet(part.vertical));
+            // Guards against light parts alone passing, of which each router has some: they count as usual.
+            Duration work = Collections.max(List.of(quiet(part.vertical), cold.work(part, Duration.ZERO)));
             if (node.readiness != Readiness.READY || !cold.allows(now, node, fleet.tookAt(part.shard, node),
-                    work, share(now, part, node))) {
+                    work)) {
                 continue;
             }
             // What can't be sent again is no trial of a node that failed: one that hangs may answer probes.
@@ -581,18 +583,6 @@
         return lately ? node.slowness / usualSlowness(now) : 1;
     }
 
-    /**
-     * What the node would get of this router's work beside the shard's sound holders. Guards too against all
-     * routers' parts that waited for a node that was down: what waited comes on top.
-     */
-    private double share(Duration now, Part part, DataNode node) {
-        List<DataNode> replicas = fleet.replicas(part.shard);
-        long sound = replicas.stream().filter(other -> other != node && other.readiness == Readiness.READY
-                && !cold.cold(now, other.coldSince()) && !suspect(now, other, part.query.vertical)).count();
-        double waited = cold.span == null ? 0 : seconds(now.minus(part.query.arrivedAt)) / seconds(cold.span);
-        return (1 + waited) * replicas.size() / (1 + sound) / fleet.size();
-    }
-
     // ---- health of nodes, from our own leaf calls alone
     /**
      * Guards against a node that is silent, slow, failing or unreachable, whatever the cause: our own calls
@@ -805,20 +795,26 @@
     }
 
     /**
-     * This router's own share of what a cold node may be sent in any window of the rule. Where that is less
-     * than a part, lots are drawn: a router is open with the chance that brings the mean of what it would
-     * send, were the node alone with its shards, down to its share; so all means together keep the budget.
+     * This router's own share of what a cold node may be sent in any window of the rule. Among many routers
+     * it is less than a part: each rounds it by its lot, so that what all can send, whatever comes, is under
+     * the budget on the mean, with its root as the spread.
      */
-    public record ColdPacing(double from, Duration ramp, Double multiple, Duration span, int routers,
-            Duration callCost, TimeRing allSent) {
-        public ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
-                Duration callCost) {
-            this(from == null ? 0 : from, ramp, multiple, span, routers == null ? 1 : Math.max(1, routers),
-                    callCost == null ? Duration.ZERO : callCost, new TimeRing(SHARE_SPAN, BUCKETS));
+    public record ColdPacing(Double from, Duration ramp, Double multiple, Duration span, Integer routers,
+            Duration callCost, Duration late) {
+        public ColdPacing {
+            from = from == null ? 0 : from;
+            routers = routers == null ? 1 : Math.max(1, routers);
+            callCost = callCost == null ? Duration.ZERO : callCost;
+            late = late == null ? Duration.ZERO : late;
+        }
+
+        /** A window as this router counts it: what waits for a connection goes so much later than decided. */
+        private Duration counted() {
+            return span.plus(late);
         }
 
         TimeRing ring() {
-            return ringOf(span);
+            return ringOf(span == null ? null : counted());
         }
 
         Duration work(Part part, Duration quiet) {
@@ -828,7 +824,6 @@
         /** The time when the node took the part's shard over counts only where there is one. */
         void sent(Duration now, DataNode node, Duration tookAt, Duration work) {
             node.workSent.add(now, seconds(work));
-            allSent.add(now, seconds(work));
             if (tookAt != null) {
                 node.takenSent = node.takenSent == null ? ring() : node.takenSent;
                 node.takenSent.add(now, seconds(work));
@@ -845,25 +840,22 @@
          * against a rush on shards that a node took over just now, whose data is not warm there: for them it
          * counts as cold, with all that it lately took. What else it holds is not held back.
          */
-        boolean allows(Duration now, DataNode node, Duration tookAt, Duration work, double share) {
-            return allows(now, node.coldSince(), node.workSent, node.lot, work, share)
-                    && (tookAt == null || allows(now, tookAt, node.takenSent, node.lot, work, share));
+        boolean allows(Duration now, DataNode node, Duration tookAt, Duration work) {
+            return allows(now, node.coldSince(), node.workSent, node.lot, work)
+                    && (tookAt == null || allows(now, tookAt, node.takenSent, node.lot, work));
         }
 
-        private boolean allows(Duration now, Duration since, TimeRing ring, double lot, Duration work,
-                double share) {
+        private boolean allows(Duration now, Duration since, TimeRing ring, double lot, Duration work) {
             if (!cold(now, since)) {
                 return true;
             }
             double risen = Math.max(0, seconds(now.minus(since).minus(span)) / seconds(ramp));
             double rate = multiple * (from * (1 - risen) + risen) * WARM_WORK;
-            double sent = ring == null ? 0 : ring.atLeast(now, span);
-            double after = sent + seconds(work);
-            double measured = Math.min(seconds(SHARE_SPAN), Math.max(1, seconds(now)));
-            double usual = allSent.atLeast(now, SHARE_SPAN) / measured * share;
-            return after <= COLD_SAFETY * rate * seconds(span) / routers
-                    || routers > COLD_CALLS && (sent == 0 || after <= rate * seconds(span) / COLD_CALLS)
-                    && lot * usual * routers < COLD_LOT * rate;
+            double even = COLD_SAFETY * rate * seconds(span) / routers;
+            double sent = ring == null ? 0 : ring.atLeast(now, counted());
+            boolean forgot = since.isNegative() && now.compareTo(counted()) < 0; // what it sent before
+            return !forgot && (sent + seconds(work) <= even || routers >= COLD_LOTS_FROM
+                    && sent + lot * seconds(work) <= even);
         }
     }
 
--- a/src/main/java/postbeam/rig/VirtualRouter.java
+++ b/src/main/java/postbeam/rig/VirtualRouter.java
@@ -71,7 +71,7 @@
                 new Decide.Calls(3, true, true, true, 16),
                 new Decide.FurtherCalls(rules.freeFurther(), rules.furtherShare(), rules.furtherSpan()),
                 new Decide.ColdPacing(rules.coldFrom(), rules.ramp(), rules.fallMultiple(), rules.fall(),
-                        world.plan.routers(), Duration.ofMillis(1)));
+                        world.plan.routers(), Duration.ofMillis(1), null));
     }
 
     // ---- what happens
--- a/src/main/java/postbeam/setup/Assembly.java
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -85,7 +85,7 @@
                         info.number("obligations.budgetShare"), info.span("obligations.extraWindow")),
                 new Decide.ColdPacing(info.number("obligations.coldFrom"), info.span("obligations.rampTime"),
                         info.number("obligations.fallMultiple"), info.span("obligations.fall"), routers,
-                        info.span("domain.callCost")));
+                        info.span("domain.callCost"), info.span("caps.connectTimeout")));
     }
 
     /** Whether discovery has to be asked; without the setting it tells by itself. */
--- a/src/main/java/postbeam/state/LeafCall.java
+++ b/src/main/java/postbeam/state/LeafCall.java
@@ -11,6 +11,8 @@
     public final Duration timeout;
     /** Place among the leaf calls of the part, from 0. */
     public final int number;
+    /** Its bytes may not go later than this, however long they wait for their turn; null: at any time. */
+    public Duration sendBy;
     /** It went ahead of its query's other parts. */
     public boolean scout;
     public boolean cancelAsked;
--- a/src/test/java/postbeam/DecideTest.java
+++ b/src/test/java/postbeam/DecideTest.java
@@ -9,7 +9,9 @@
 import static postbeam.Given.ms;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import postbeam.state.Customer;
 import postbeam.state.DataNode;
@@ -248,14 +250,75 @@
 
     @Test
     void aColdNodeGetsNoMoreThanThisRoutersShareOfEveryWindow() {
-        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 2, ms(20));
+        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 2, ms(20), ms(250));
         DataNode node = new DataNode(0, new Zone(true));
         node.workSent = cold.ring();
         node.startedAt = ms(0);
-        assertTrue(cold.allows(ms(10), node, null, ms(150), 1));
+        assertTrue(cold.allows(ms(10), node, null, ms(150)));
         node.workSent.add(ms(10), 0.3);
-        assertFalse(cold.allows(ms(900), node, null, ms(150), 1));
-        assertTrue(cold.allows(ms(11_000), node, null, ms(5000), 1));
+        assertFalse(cold.allows(ms(900), node, null, ms(150)));
+        // What was decided then may have gone 250 ms later, when its connection was up.
+        assertFalse(cold.allows(ms(1200), node, null, ms(150)));
+        assertTrue(cold.allows(ms(1400), node, null, ms(150)));
+        assertTrue(cold.allows(ms(11_000), node, null, ms(5000)));
+    }
+
+    /** It has forgotten what it sent before it ended, which may have been its whole share of the window. */
+    @Test
+    void aRouterThatHasJustStartedSendsNothingToWhatIsCold() {
+        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 2, ms(20), ms(250));
+        DataNode node = new DataNode(0, new Zone(true));
+        node.workSent = cold.ring();
+        node.startedAt = ms(-300);
+        assertFalse(cold.allows(ms(1200), node, null, ms(150)));
+        assertTrue(cold.allows(ms(1250), node, null, ms(150)));
+    }
+
+    /** All that so many routers can send a cold node, each as much as it may, with parts of differing work. */
+    private static double mostInAWindow(Random chance, int routers, double multiple) {
+        List<Decide.ColdPacing> pacings = new ArrayList<>();
+        List<DataNode> views = new ArrayList<>();
+        for (int i = 0; i < routers; i++) {
+            pacings.add(new Decide.ColdPacing(0.2, ms(10_000), multiple, ms(1000), routers, ms(0), ms(250)));
+            DataNode node = new DataNode(0, new Zone(true));
+            node.workSent = pacings.get(i).ring();
+            node.startedAt = ms(5000);
+            node.lot = chance.nextDouble();
+            views.add(node);
+        }
+        double sum = 0;
+        for (int at = 5000; at < 6000; at += 50) {
+            for (int i = 0; i < routers; i++) {
+                Duration work = ms(60 + chance.nextInt(80));
+                Duration asked = work.compareTo(ms(100)) < 0 ? ms(100) : work;
+                if (pacings.get(i).allows(ms(at), views.get(i), null, asked)) {
+                    pacings.get(i).sent(ms(at), views.get(i), null, work);
+                    sum += work.toNanos() / 1e9;
+                }
+            }
+        }
+        return sum;
+    }
+
+    /** The worst that can come: all routers want the node all the time. Beyond N, 2 x root of N + 2 is chance. */
+    @Test
+    void whatAllRoutersTogetherCanSendAColdNodeKeepsTheBudgetButForChance() {
+        Random chance = new Random(5);
+        for (int routers : new int[] {3, 20, 30, 100}) {
+            for (double multiple : new double[] {2, 3, 4}) {
+                double n = multiple * 0.2 * 2 / 0.1;
+                int beyond = 0;
+                double all = 0;
+                for (int i = 0; i < 1000; i++) {
+                    double sent = mostInAWindow(chance, routers, multiple) / 0.1;
+                    all += sent;
+                    beyond += sent > n + 2 * Math.sqrt(n) + 2 ? 1 : 0;
+                }
+                System.out.println(routers + " routers, N " + n + ": mean " + all / 1000 + ", beyond " + beyond);
+                assertTrue(all / 1000 <= n, routers + " routers, N " + n + ": " + all / 1000 + " on the mean");
+                assertTrue(beyond <= 2, routers + " routers, N " + n + ": " + beyond + " of 1000 windows beyond");
+            }
+        }
     }
 
     @Test
@@ -341,16 +404,16 @@
 
     @Test
     void manyRoutersDrawLotsForAColdNode() {
-        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 100, ms(20));
+        var cold = new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 100, ms(20), ms(250));
         DataNode node = new DataNode(0, new Zone(true));
         node.workSent = cold.ring();
         node.startedAt = ms(0);
         node.lot = 0.01;
-        assertTrue(cold.allows(ms(10), node, null, ms(80), 1));
+        assertTrue(cold.allows(ms(10), node, null, ms(80)));
         cold.sent(ms(10), node, null, ms(80));
-        assertFalse(cold.allows(ms(500), node, null, ms(80), 1));
+        assertFalse(cold.allows(ms(500), node, null, ms(80)));
         node.lot = 0.99;
-        assertFalse(cold.allows(ms(2000), node, null, ms(80), 1));
+        assertFalse(cold.allows(ms(2000), node, null, ms(80)));
     }
 
     /** Calls to so many nodes of another zone, of which the first so many fail; the last node stays untouched. */
--- a/src/test/java/postbeam/Given.java
+++ b/src/test/java/postbeam/Given.java
@@ -39,7 +39,7 @@
     Given(int nodeCount, boolean mayDuplicate, int partsACall, int cells) {
         decide = new Decide(this, new Random(1), new Fleet(cells, 1), new Decide.Held(100, 1, 0.1, null),
                 new Decide.Calls(3, mayDuplicate, true, true, partsACall), new Decide.FurtherCalls(null, null, null),
-                new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 1, ms(20)));
+                new Decide.ColdPacing(0.2, ms(10_000), 2.0, ms(1000), 1, ms(20), ms(250)));
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new DataNode(i % cells, zone));
             decide.nodeListed(ms(0), nodes.get(i), Readiness.READY, null);
