No call is written for a client that has gone, a node that drains, or past its window

Rules: no attempt begins over 0.1 s after its client closed; nothing goes to a draining node after the grace; a deduplicated part runs again only within its window. All three were kept when a call was decided on, and none when it was written, which may be a connect time-out later (NodeConnection.next left out only what the decisions had already ended).

Seen on sockets, with the router held by SIGSTOP until both sides had arrived, or a listener that was full until then (RouterIT, on the program as it was before): - a client that asked, sent 100 KB on and closed: "m gone100000.0 0, m gone100000.1 1, m reset100000.0 ..." went to the node. Bytes behind the request stand before its end, and the query was taken before any look at the socket (ClientDoor.take, watch); beyond 1 MB the end was never seen (ClientConnection.readOff stopped reading); - a call that waited for a connection went after its node was told to drain: "mq1.0 0 d=7965 8"; - a deduplicated part, window 600 ms, went again after over 1 s: "mq1.0 0 d=7863 8". And with the I/O thread held between the decision and the writing (NodeConnectionTest): "expected: <mstays.0> but was: <mgone.0>".

Now each call is looked at as it is written: its client's socket itself is read (a read that finds nothing, for each query of a frame), its time, and what the list said of its node. A frame that stands half written is not finished where a part of it is not wanted any more: its last byte would begin the attempt; the connection is closed. Beyond 1 MB what a client sends on is read at 3 MB a second. `sendBy` ends a call as never sent, a drain as not reached, so that the part may go elsewhere.

Ruled out: a client's end and a node's connection that come in one turn of the I/O thread.

--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -29,8 +29,10 @@
     private static final Duration LINGER = Duration.ofSeconds(2);
     /** Bytes read off at once: a whole body of the protocol's size and its head take three turns. */
     private static final int READ_OFF = 32 << 10;
-    /** Bytes read off in all: a client that sends without end at full speed must not take the core for it. */
-    private static final int READ_OFF_MOST = 1 << 20;
+    /** Bytes read off at full speed; what is beyond is read at a pace: sending without end must not take the core. */
+    private static final int READ_OFF_FAST = 1 << 20;
+    /** Between reads beyond it: some 3 MB a second, so that the end behind what a client sent at once is seen soon. */
+    private static final Duration READ_OFF_PACE = Duration.ofMillis(10);
     /** Shared by all connections: what is in it is thrown away. */
     private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(READ_OFF);
 
@@ -40,6 +42,12 @@
     private XnioExecutor.Key timer;
     private boolean ending;
     private int readOff;
+    /** When something may be read off again, beyond what goes at full speed. */
+    private long readOffAt = System.nanoTime();
+    /** Bytes came after a whole request and before its answer: what they ask for is lost. */
+    boolean sentOn;
+    /** Its query is served, so that only a look at the socket shows that the client leaves. */
+    boolean watched;
     /** Since when it waits for its next request to be there as a whole. */
     long waitsSince = System.nanoTime();
     /** Nothing had been read of it at the last look, though its time was over. */
@@ -188,15 +196,41 @@
 
     /** Reads what has come and drops it: how much, or -1 at the end. */
     int readOff() throws IOException {
-        if (readOff > READ_OFF_MOST) {
-            input.suspendReads();
-            return 0;
+        if (readOff > READ_OFF_FAST) {
+            long wait = readOffAt - System.nanoTime();
+            if (wait > 0) {
+                input.suspendReads();
+                getIoThread().executeAfter(this::readOn, wait / 1_000_000 + 1, TimeUnit.MILLISECONDS);
+                return 0;
+            }
+            readOffAt = System.nanoTime() + READ_OFF_PACE.toNanos();
         }
         int got = input.read(DROPPED.clear());
-        readOff += got;
+        readOff += Math.max(0, got);
+        sentOn |= got > 0;
         return got;
     }
 
+    private void readOn() {
+        if (socket.isOpen() && (watched || ending)) {
+            input.resumeReads();
+        }
+    }
+
+    /** Whether the client has closed or reset it, by a look at the socket itself; while a request of it is served. */
+    boolean hasLeft() {
+        try {
+            int got = 1;
+            while (got > 0) {
+                got = readOff();
+            }
+            return got < 0;
+        } catch (IOException e) {
+            // It is reset, or was given back before.
+            return true;
+        }
+    }
+
     // The two ways are closed by closeAction, each when its time has come.
     @Override
     protected void notifyReadClosed() { }
--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -187,6 +187,10 @@
         ConduitStreamSinkChannel sink = channel.getSinkChannel();
         try {
             while (writing != null || next()) {
+                if (writing.position() > 0 && unwanted(writingCalls)) {
+                    close("a frame that can't go on, as part of it is not wanted any more");
+                    return;
+                }
                 sink.write(writing);
                 if (writing.hasRemaining()) {
                     sink.resumeWrites();
@@ -206,7 +210,16 @@
         }
     }
 
-    /** Takes up the next frame; leaf calls that are over meanwhile are left out. */
+    /**
+     * Guards against a frame that stood half written while its client left, its node began to drain or its time passed:
+     * its last byte would begin the attempt. It costs the other calls on a connection whose node does not read.
+     */
+    private static boolean unwanted(List<Out> calls) {
+        Call.checkClients(calls.stream().map(out -> out.call).toList());
+        return calls.stream().anyMatch(out -> out.call.unsendable() != null);
+    }
+
+    /** Takes up the next frame; leaf calls that are not to be sent any more are left out. */
     private boolean next() {
         while (!waiting.isEmpty()) {
             Waiting first = waiting.poll();
@@ -216,10 +229,19 @@
                 return true;
             }
             callsWaiting -= first.calls().size();
-            List<Call> live = first.calls().stream().filter(call -> !call.over()).toList();
-            if (live.size() < first.calls().size()) {
-                decisions.report(first.calls().stream().filter(call -> !live.contains(call))
-                        .map(call -> new Ending(call, Outcome.NEVER_SENT)).toList());
+            Call.checkClients(first.calls());
+            List<Call> live = new ArrayList<>();
+            List<Ending> endings = new ArrayList<>();
+            for (Call call : first.calls()) {
+                Outcome outcome = call.unsendable();
+                if (outcome == null) {
+                    live.add(call);
+                } else {
+                    endings.add(new Ending(call, outcome));
+                }
+            }
+            if (!endings.isEmpty()) {
+                decisions.report(endings);
             }
             if (!live.isEmpty()) {
                 writing = Frames.call(live);
--- a/src/main/java/postbeam/router/Call.java
+++ b/src/main/java/postbeam/router/Call.java
@@ -1,8 +1,12 @@
 package postbeam.router;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import postbeam.pages.Partial;
 import postbeam.state.LeafCall;
+import postbeam.state.Outcome;
 
 /** A leaf call as the network sees it. */
 public final class Call {
@@ -14,13 +18,19 @@
     /** What a data node is told beside how long is waited; empty but where slices move. */
     private final String more;
     private final long untilNanos;
+    private final OpenQuery query;
     private volatile boolean over;
+    /** How it ends where it is not written by then; null: it may be written at any time. */
+    private volatile Limit limit;
     /** Reads what comes for a page; null where none was asked for. */
     final Paged paged;
     /** What was read of it. */
     Partial rows;
 
-    Call(LeafCall leaf, String id, String more, byte[] text, long untilNanos, Paged paged) {
+    private record Limit(long nanos, Outcome outcome) { }
+
+    Call(OpenQuery query, LeafCall leaf, String id, String more, byte[] text, long untilNanos, Paged paged) {
+        this.query = query;
         this.leaf = leaf;
         this.shard = leaf.part.shard;
         this.id = id;
@@ -39,6 +49,36 @@
         return over;
     }
 
+    /** It is not to be written after this; where it is not by then it ends so. */
+    void notAfter(long nanos, Outcome outcome) {
+        Limit held = limit;
+        if (held == null || held.nanos - nanos > 0) {
+            limit = new Limit(nanos, outcome);
+        }
+    }
+
+    /** How it ends as not written, where it is not to be written any more; null where it still may be. */
+    public Outcome unsendable() {
+        Limit held = limit;
+        return over ? Outcome.NEVER_SENT
+                : held != null && System.nanoTime() - held.nanos > 0 ? held.outcome : null;
+    }
+
+    /**
+     * Looks at the connections of their clients, on the I/O thread and just before the calls are written. Guards against
+     * a client that closed while a call waited its turn: for a thread, a connection to the node, or a router that is
+     * late. It costs a read that finds nothing for each query.
+     */
+    public static void checkClients(Collection<Call> calls) {
+        Set<OpenQuery> queries = new LinkedHashSet<>();
+        for (Call call : calls) {
+            if (!call.over) {
+                queries.add(call.query);
+            }
+        }
+        queries.forEach(OpenQuery::checkClient);
+    }
+
     /** How long its answer will be waited for; at least 1. */
     public long millisLeft() {
         return Math.max(1, (untilNanos - System.nanoTime()) / 1_000_000);
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -202,6 +202,7 @@
                 first.further.forEach(before -> inherit((Piece) part, before.query));
             }
             OpenQuery q = new OpenQuery(asked, query, lock.newCondition(), paged, held.version);
+            q.checkedAs(first);
             first.further.add(q);
             open.put(asked.id(), q);
             byQuery.put(query, q);
@@ -330,6 +331,12 @@
                     }
                 });
                 addresses.keySet().removeIf(node -> roster.name(node) == null);
+                // What is decided on and still waits for its connection would go after the node's grace.
+                out.forEach((leaf, sent) -> {
+                    if (leaf.node.readiness != Readiness.READY) {
+                        sent.call().notAfter(startNanos + now.toNanos(), Outcome.UNREACHABLE);
+                    }
+                });
             });
         } finally {
             lock.unlock();
@@ -619,8 +626,11 @@
             id += "-" + Long.toHexString(keys.from());
             more = ",v=" + slicing.held().version + ",k=" + keys + (q.paged == null ? "" : ",p=" + q.paged.askBytes);
         }
-        Call call = new Call(leaf, id, more, q.paged == null ? q.asked.text() : q.paged.text,
+        Call call = new Call(q, leaf, id, more, q.paged == null ? q.asked.text() : q.paged.text,
                 startNanos + until.toNanos(), q.paged);
+        if (leaf.sendBy != null) {
+            call.notAfter(startNanos + leaf.sendBy.toNanos(), Outcome.NEVER_SENT);
+        }
         q.calls.add(call);
         sends.computeIfAbsent(leaf.node, node -> new ArrayList<>()).add(call);
         out.put(leaf, new Out(call, after(until, () -> timedOut(leaf))));
--- a/src/main/java/postbeam/router/OpenQuery.java
+++ b/src/main/java/postbeam/router/OpenQuery.java
@@ -30,6 +30,8 @@
     /** Queries that ask again for its page, in turn. */
     final List<OpenQuery> further;
     boolean left;
+    /** Looks at the client's connection and says so where the client has left; on the I/O thread. */
+    private volatile Runnable clientCheck = () -> { };
 
     OpenQuery(Asked asked, Query query, Condition changed, Paged paged, long layout) {
         this.asked = asked;
@@ -42,6 +44,19 @@
         this.further = paged == null ? List.of() : new ArrayList<>();
     }
 
+    /** What looks whether its client has left, to be called on the thread that serves the client's connection. */
+    public void clientCheck(Runnable check) {
+        clientCheck = check;
+    }
+
+    void checkedAs(OpenQuery first) {
+        clientCheck = first.clientCheck;
+    }
+
+    void checkClient() {
+        clientCheck.run();
+    }
+
     void add(Step step) {
         steps.add(step);
         changed.signal();
--- /dev/null
+++ b/src/test/java/postbeam/datanodes/NodeConnectionTest.java
@@ -0,0 +1,129 @@
+package postbeam.datanodes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import postbeam.roster.Entry;
+import postbeam.roster.Told;
+import postbeam.router.Asked;
+import postbeam.router.Decisions;
+import postbeam.router.OpenQuery;
+import postbeam.router.Step;
+import postbeam.setup.Info;
+import postbeam.setup.Json;
+import postbeam.state.Readiness;
+
+/** Calls on their way to a node that accepts connections and says nothing. */
+@Timeout(30)
+class NodeConnectionTest {
+    private final ServerSocket node = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    private final Decisions decisions = new Decisions(new Info(Json.object(("{\"zone\":\"a\",\"nInstances\":1,"
+            + "\"domain\":{\"cells\":1,\"reach\":1},\"caps\":{\"maxAttempts\":3,\"cancelling\":true},\"classes\":["
+            + "{\"name\":\"lookup\",\"promise\":1000000,\"effect\":\"retryable\"}]}")
+            .getBytes(StandardCharsets.UTF_8)), ""), 1, 2, Duration.ofMillis(50), null);
+    private final DataNodes nodes = new DataNodes(worker.getIoThread(), decisions, 32, Duration.ofSeconds(5),
+            Duration.ofSeconds(10), 10, false);
+
+    private final Thread ticks = new Thread(() -> {
+        try {
+            while (true) {
+                decisions().tick();
+            }
+        } catch (InterruptedException e) {
+            // The test is over.
+        }
+    });
+
+    NodeConnectionTest() throws IOException {
+        decisions.listed(new Told(1, true, List.of(new Entry("n1", "a", 0, 0, Readiness.READY)), Map.of("n1", dial())));
+        ticks.setDaemon(true);
+        ticks.start();
+    }
+
+    private Decisions decisions() {
+        return decisions;
+    }
+
+    private String dial() {
+        return "127.0.0.1:" + node.getLocalPort();
+    }
+
+    @AfterEach
+    void giveBack() throws IOException {
+        ticks.interrupt();
+        worker.shutdownNow();
+        node.close();
+    }
+
+    private OpenQuery take(String id) throws Exception {
+        return decisions.take(new Asked(id, "lookup", null, Duration.ofSeconds(5),
+                List.of(new Asked.AskedPart(0, 1, null)), new byte[] {'x'}), Duration.ZERO);
+    }
+
+    private void send(OpenQuery q) throws InterruptedException {
+        Step.Send send = assertInstanceOf(Step.Send.class, decisions.pick(q));
+        nodes.send(send.address(), send.calls());
+    }
+
+    /** The I/O thread stands until it is let on; returns once it does. */
+    private CountDownLatch held() throws InterruptedException {
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        worker.getIoThread().execute(() -> {
+            stands.countDown();
+            try {
+                goesOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        return goesOn;
+    }
+
+    private static String part(DataInputStream in) throws IOException {
+        byte[] frame = in.readNBytes(Integer.reverseBytes(in.readInt()));
+        return new String(frame, StandardCharsets.UTF_8).split(" ")[0];
+    }
+
+    /** Its call is decided on and handed over; before its turn comes its client has closed, which nobody has read yet. */
+    @Test
+    void aCallIsNotWrittenForAClientThatIsGoneByThen() throws Exception {
+        OpenQuery gone = take("gone");
+        OpenQuery stays = take("stays");
+        CountDownLatch[] left = {new CountDownLatch(1)};
+        gone.clientCheck(() -> {
+            if (left[0].getCount() == 0) {
+                decisions.left(gone);
+            }
+        });
+        CountDownLatch goesOn = held();
+        send(gone);
+        left[0].countDown();
+        send(stays);
+        goesOn.countDown();
+        try (Socket router = node.accept()) {
+            assertEquals("mstays.0", part(new DataInputStream(router.getInputStream())));
+        }
+        assertInstanceOf(Step.GiveUp.class, decisions.pick(gone));
+        assertInstanceOf(Step.Over.class, decisions.pick(gone));
+    }
+}
