One inequality keeps what discovery had within the 6 s after which it counts as told

Seen: a change counts as told 6 s after discovery had it and could be reached, whatever calls were out, had failed or had been refused. At the agent, whose answers come at once and whose list at its return counts at once, a silent call was waited for 1 s, longer than a grace of 500 ms.

Done: max(hold + over, answer) + longest pause + answer <= 6 s - 0.5 s, stated in Asking where its terms stand, and for the agent with one more failed call in it.

Weighed: retrying at once where a kept connection turns out closed. A whole list is asked for on a kept connection only after a spoilt answer, so it would help nothing; a watch that fails so costs 100 ms at the agent.

--- a/src/main/java/postbeam/discovery/HttpGet.java
+++ b/src/main/java/postbeam/discovery/HttpGet.java
@@ -15,8 +15,9 @@
 
 /**
  * GETs from one address, one at a time, over a connection that is kept between them. Each has one deadline, for
- * connecting, head and body together: what stays silent, trickles or never ends is given up then, and its connection
- * with it. Nothing is asked a second time and no redirection is followed: when to ask again is not decided here.
+ * connecting, head and body together, and earlier ones for its parts: what stays silent, trickles or never ends is
+ * given up then, and its connection with it. Nothing is asked a second time and no redirection is followed: when to
+ * ask again is not decided here.
  *
  * <p>By hand because Undertow's own client bounds no head (its MAX_HEADER_SIZE is the listener's alone): one header
  * name without end filled a heap of 48 MB within about 1 s, from 21 MB sent, and held the thread that serves clients
@@ -27,13 +28,20 @@
     private static final int LONGEST_HEAD = 8 << 10;
     private static final int BUFFER = 4 << 10;
 
+    /**
+     * The longest that connecting may take, the beginning of an answer from its question, the rest of it from there,
+     * and all of it.
+     */
+    record Limits(Duration connect, Duration begin, Duration rest, Duration whole) { }
+
     private final String address;
     private final byte[] buffer = new byte[BUFFER];
     private int at;
     private int filled;
+    /** When the whole answer has to be there, on the clock of System.nanoTime. */
     private long end;
-    /** What is left for the rest of an answer once it begins; 0 from then on. */
-    private long restNanos;
+    /** When what is read next has to be there. */
+    private long due;
     private InputStream in;
     private volatile Socket socket;
     private boolean closed;
@@ -42,21 +50,23 @@
         this.address = address;
     }
 
-    /**
-     * The body of a 200 of up to so many bytes; an IOException says why there is none within this time. Connecting
-     * takes no longer than the rest, and once the first byte is there, so does what is still to come.
-     */
-    byte[] get(String path, int longest, Duration within, Duration rest) throws IOException {
-        end = System.nanoTime() + within.toNanos();
-        restNanos = rest.toNanos();
+    /** The body of a 200 of up to so many bytes; an IOException says why there is none within these limits. */
+    byte[] get(String path, int longest, Limits limits) throws IOException {
+        end = System.nanoTime() + limits.whole().toNanos();
         boolean whole = false;
         try {
             Socket to = socket;
             if (to == null) {
+                due = by(limits.connect());
                 to = connect();
             }
             to.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
+            due = by(limits.begin());
+            if (at == filled && !fill()) {
+                throw new EOFException("closed before an answer");
+            }
+            due = by(limits.rest());
             String[] status = line().split(" ", 3);
             if (!status[0].startsWith("HTTP/1.") || status.length < 2) {
                 throw new IOException("not an answer of HTTP/1.1");
@@ -86,14 +96,18 @@
         }
         at = 0;
         filled = 0;
-        opening.connect(Startup.socketAddress(address), (int) Math.min(left(), restNanos / 1_000_000 + 1));
+        opening.connect(Startup.socketAddress(address), left());
         in = opening.getInputStream();
         return opening;
     }
 
+    private long by(Duration limit) {
+        return Math.min(end, System.nanoTime() + limit.toNanos());
+    }
+
     /** What is left of the time, in ms; at least 1. */
     private int left() throws SocketTimeoutException {
-        long left = end - System.nanoTime();
+        long left = due - System.nanoTime();
         if (left <= 0) {
             throw new SocketTimeoutException();
         }
@@ -113,10 +127,6 @@
         from.setSoTimeout(left());
         at = 0;
         filled = Math.max(0, in.read(buffer));
-        if (restNanos > 0) {
-            end = Math.min(end, System.nanoTime() + restNanos);
-            restNanos = 0;
-        }
         return filled > 0;
     }
 
--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -13,11 +13,6 @@
  */
 public final class LongPoll<T> implements Runnable {
     private static final System.Logger LOG = System.getLogger(LongPoll.class.getName());
-    /**
-     * How much longer than its wait a watch is waited for: half of the 2 s after which what it missed counts as told;
-     * the other half is left for asking anew.
-     */
-    private static final Duration OVER = Duration.ofSeconds(1);
 
     /** Decodes a body; an IOException says what can't be used. */
     public interface Reading<T> {
@@ -56,8 +51,7 @@
         while (!stopped) {
             try {
                 long asked = System.nanoTime();
-                T next = last < 0 ? ask("", pace.answer())
-                        : ask("?index=" + last + "&wait=" + pace.hold().toMillis(), pace.hold().plus(OVER));
+                T next = last < 0 ? whole() : newer(last);
                 long is = version.applyAsLong(next);
                 if (is < Math.max(0, last)) {
                     // Changes of something else than what is held; a whole list is taken as it is.
@@ -102,10 +96,21 @@
         }
     }
 
-    private T ask(String query, Duration within) throws IOException {
+    private T whole() throws IOException {
+        Duration begin = pace.begin().apply(failures);
+        return ask("", new HttpGet.Limits(begin, begin, pace.answer(), pace.answer()));
+    }
+
+    private T newer(long last) throws IOException {
+        Duration waited = pace.hold().plus(pace.over());
+        return ask("?index=" + last + "&wait=" + pace.hold().toMillis(),
+                new HttpGet.Limits(pace.begin().apply(failures), waited, pace.answer(), waited));
+    }
+
+    private T ask(String query, HttpGet.Limits limits) throws IOException {
         String says = source.says().get();
         String asked = source.path() + query + (says.isEmpty() ? "" : (query.isEmpty() ? "?" : "&") + says);
-        return reading.read(http.get(asked, source.longest(), within, pace.answer()));
+        return reading.read(http.get(asked, source.longest(), limits));
     }
 
     /** Once it returns nothing more is told; a call that waits is broken off. */
--- /dev/null
+++ b/src/test/java/postbeam/discovery/StandInAgent.java
@@ -0,0 +1,146 @@
+package postbeam.discovery;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** A discovery on loopback whose calls the test takes and answers itself, one by one, or leaves without an answer. */
+final class StandInAgent implements Closeable {
+    /** Far more than any call may be late by its limits. */
+    private static final long NEVER_SECONDS = 30;
+
+    /** A call that has arrived. */
+    record Call(Socket socket, String path, long atNanos) {
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void whole(String body) throws IOException {
+            say("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** A byte of an answer again and again, until its asker has enough. */
+        void trickle(long everyNanos) {
+            daemon(() -> {
+                say("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+                while (true) {
+                    LockSupport.parkNanos(everyNanos);
+                    say("1");
+                }
+            });
+        }
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final int port;
+    private ServerSocket server;
+
+    StandInAgent() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        port = server.getLocalPort();
+        serve(server);
+    }
+
+    static Thread daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // Its peer or the test has ended.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
+    /** The next call, as soon as it is there. */
+    Call call() throws InterruptedException {
+        Call call = calls.poll(NEVER_SECONDS, TimeUnit.SECONDS);
+        if (call == null) {
+            throw new AssertionError("no call came");
+        }
+        return call;
+    }
+
+    /** From now on connects are refused. */
+    void refuse() throws IOException {
+        server.close();
+    }
+
+    void listenAgain() throws IOException {
+        ServerSocket back = new ServerSocket();
+        back.setReuseAddress(true);
+        while (!back.isBound()) {
+            try {
+                back.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            } catch (BindException e) {
+                // The last of the old one is still on its way out.
+                Thread.onSpinWait();
+            }
+        }
+        server = back;
+        serve(back);
+    }
+
+    private void serve(ServerSocket on) {
+        daemon(() -> {
+            while (true) {
+                Socket socket = on.accept();
+                sockets.add(socket);
+                daemon(() -> read(socket));
+            }
+        });
+    }
+
+    private void read(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+        String line;
+        while ((line = in.readLine()) != null) {
+            String path = line.split(" ")[1];
+            while (!in.readLine().isEmpty()) {
+                // Headers say nothing here.
+            }
+            calls.add(new Call(socket, path, System.nanoTime()));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/postbeam/discovery/ToldInTimeTest.java
@@ -0,0 +1,227 @@
+package postbeam.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import postbeam.roster.Asking;
+
+/**
+ * What discovery had and could be reached for counts as told 6 s later, whatever calls were out, had failed or had been
+ * refused. Each moment is forced: the call that crosses it has arrived when discovery comes back, and is unanswered.
+ */
+@Timeout(120)
+class ToldInTimeTest {
+    /** The 6 s, less what is left for a router that is late. */
+    private static final long TOLD_MILLIS = 5_500;
+    /** A grace of 500 ms, and 100 ms for a machine with other work. */
+    private static final long SHORTEST_GRACE_MILLIS = 600;
+
+    /** How a call ends that is not answered. */
+    private enum Fails {
+        SILENT, RESET, TRICKLES, REFUSES
+    }
+
+    private StandInAgent agent;
+    private final BlockingQueue<Long> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Integer> failures = new LinkedBlockingQueue<>();
+    private LongPoll<Long> watch;
+
+    @BeforeEach
+    void listen() throws IOException {
+        agent = new StandInAgent();
+    }
+
+    @AfterEach
+    void giveBack() throws IOException {
+        watch.stop();
+        agent.close();
+    }
+
+    private void follow(Asking.Pace pace) {
+        Asking.Pace counted = new Asking.Pace(pace.hold(), pace.over(), pace.answer(), pace.begin(), after -> {
+            failures.add(after);
+            return pace.pause().apply(after);
+        }, pace.longestPause());
+        watch = new LongPoll<>(new LongPoll.Source("discovery", agent.address(), "/v1/servers", 256 << 10),
+                body -> Long.parseLong(new String(body, StandardCharsets.UTF_8)), version -> version, told::add,
+                counted);
+        StandInAgent.daemon(watch::run);
+    }
+
+    private static Asking.Pace priced() {
+        return Asking.priced(Duration.ofSeconds(10), new Random(5));
+    }
+
+    private static void fail(StandInAgent.Call call, Fails how) throws IOException {
+        switch (how) {
+            case SILENT -> { }
+            case RESET -> call.reset();
+            case TRICKLES -> call.trickle(TimeUnit.MILLISECONDS.toNanos(20));
+            case REFUSES -> call.say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+
+    /** The watch that is out once the first list has been told. */
+    private StandInAgent.Call watchAfter(long version) throws Exception {
+        agent.call().whole(String.valueOf(version));
+        assertEquals(version, told.take());
+        StandInAgent.Call waits = agent.call();
+        assertTrue(waits.path().startsWith("/v1/servers?index=" + version + "&wait="), waits.path());
+        return waits;
+    }
+
+    private void assertTold(long version, long sinceNanos, long withinMillis) throws InterruptedException {
+        assertEquals(version, told.poll(60, TimeUnit.SECONDS));
+        long after = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+        assertTrue(after <= withinMillis, "told after " + after + " ms");
+    }
+
+    /** Discovery has the change right after the watch began, which stays silent; the next call fails all the same. */
+    @ParameterizedTest
+    @EnumSource
+    void aSilentWatchAndOneMoreFailedCallAtTheAgent(Fails how) throws Exception {
+        follow(Asking.FREE);
+        StandInAgent.Call silent = watchAfter(1);
+        StandInAgent.Call failed = agent.call();
+        assertEquals("/v1/servers", failed.path());
+        fail(failed, how);
+        StandInAgent.Call asked = agent.call();
+        assertEquals("/v1/servers", asked.path());
+        asked.whole("2");
+        assertTold(2, silent.atNanos(), TOLD_MILLIS);
+    }
+
+    /** Both calls end as late as they may: the watch silent, the list shortly before it would be given up. */
+    @Test
+    void aSilentWatchWhereCallsArePriced() throws Exception {
+        follow(priced());
+        StandInAgent.Call silent = watchAfter(1);
+        lateList(agent.call());
+        assertTold(2, silent.atNanos(), TOLD_MILLIS);
+    }
+
+    /** Discovery is back right after a call began that ends in this way, the last of so many that did. */
+    @ParameterizedTest
+    @EnumSource
+    void callsThatFailInARowWhereCallsArePriced(Fails how) throws Exception {
+        follow(priced());
+        StandInAgent.Call failed = null;
+        for (int calls = 0; calls < 3; calls++) {
+            failed = agent.call();
+            fail(failed, how);
+        }
+        lateList(agent.call());
+        assertTold(2, failed.atNanos(), TOLD_MILLIS);
+    }
+
+    private static void lateList(StandInAgent.Call call) throws Exception {
+        call.say("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n");
+        // What discovery may take to answer, less what a busy machine may add.
+        Thread.sleep(1_700);
+        call.say("2");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5})
+    void callsThatAreRefusedInARow(int refused) throws Exception {
+        agent.refuse();
+        follow(Asking.FREE);
+        for (int failure = 1; failure <= refused; failure++) {
+            assertEquals(failure, failures.take());
+        }
+        agent.listenAgain();
+        long back = System.nanoTime();
+        agent.call().whole("2");
+        assertTold(2, back, SHORTEST_GRACE_MILLIS);
+    }
+
+    /** Back right after a call began that the agent never answers: what it has then counts at once. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5})
+    void theAgentIsHeardAtOnceOnceItIsBack(int silent) throws Exception {
+        follow(Asking.FREE);
+        StandInAgent.Call unanswered = null;
+        for (int calls = 0; calls < silent; calls++) {
+            unanswered = agent.call();
+        }
+        agent.call().whole("2");
+        assertTold(2, unanswered.atNanos(), SHORTEST_GRACE_MILLIS);
+    }
+
+    /** An agent that is slow to begin is heard, if not at once. */
+    @Test
+    void anAgentThatIsAlwaysSlowToBeginIsHeard() throws Exception {
+        follow(Asking.FREE);
+        while (told.isEmpty()) {
+            StandInAgent.Call call = agent.call();
+            StandInAgent.daemon(() -> {
+                Thread.sleep(500);
+                call.whole("2");
+            });
+        }
+        assertEquals(2L, told.take());
+    }
+
+    /** Slowly, and so fast that each read finds something: a limit that has passed is no reason to read on for ever. */
+    @ParameterizedTest
+    @ValueSource(longs = {20_000_000, 1_000_000, 1_000})
+    void aListThatTricklesIsGivenUpByItsDeadlineAndAskedForAnew(long everyNanos) throws Exception {
+        follow(Asking.FREE);
+        StandInAgent.Call trickles = agent.call();
+        trickles.trickle(everyNanos);
+        StandInAgent.Call asked = agent.call();
+        long after = TimeUnit.NANOSECONDS.toMillis(asked.atNanos() - trickles.atNanos());
+        assertTrue(after <= 1_500, "asked anew after " + after + " ms");
+        assertEquals("/v1/servers", asked.path());
+        asked.whole("2");
+        assertEquals(2L, told.take());
+    }
+
+    /** A reset is no end, also where what came until then could be read as a list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n\r\n8", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n8"})
+    void aBodyWithoutALengthThatIsResetIsNotTaken(String start) throws Exception {
+        follow(Asking.FREE);
+        StandInAgent.Call reset = agent.call();
+        reset.say(start);
+        reset.reset();
+        StandInAgent.Call asked = agent.call();
+        assertEquals("/v1/servers", asked.path());
+        assertNull(told.peek());
+        asked.whole("9");
+        assertEquals(9L, told.take());
+    }
+
+    /** Nor in the middle of a watch, whose end in order is one. */
+    @Test
+    void aBodyWithoutALengthIsTakenWhereItEndsAndNotWhereItIsReset() throws Exception {
+        follow(Asking.FREE);
+        StandInAgent.Call ends = watchAfter(1);
+        ends.say("HTTP/1.1 200 OK\r\n\r\n2");
+        ends.socket().shutdownOutput();
+        assertEquals(2L, told.take());
+        StandInAgent.Call reset = agent.call();
+        assertTrue(reset.path().startsWith("/v1/servers?index=2&"), reset.path());
+        reset.say("HTTP/1.1 200 OK\r\n\r\n3");
+        reset.reset();
+        StandInAgent.Call asked = agent.call();
+        assertEquals("/v1/servers", asked.path());
+        asked.whole("4");
+        assertEquals(4L, told.take());
+    }
+}
