HttpGet reads what has come before it judges time: a late thread loses no list

Seen by reading: HttpGet.left() threw once a limit had passed, before anything was read. A thread that waited for its part of a core gave up a list that stood whole in its socket, and asked for it anew, to be late again. Line at fault: `if (left <= 0) throw` in left(), called by fill() before in.read.

Done: past a limit each read still has 1 ms (the JDK tries the read before it looks at the clock), as often as the longest answer fills the buffer and 6 times more, so that a trickle ends all the same, some 70 ms late for a list. Ruled out: connecting; the JDK polls once more after each wait, before it judges. available() was weighed in place of a read: it doesn't tell of an end, which a body without a length needs.

Checked (HttpGetTest, 12, new): the answer of 35,000 bytes stands in the socket before the question, and a limit of 0 has passed. With the time judged first again 5 of the 12 fail, each by "IOException: no whole answer in time". What has not come, or in part, or trickles, is given up as before. Not shown: the test of a fast trickle passes also without the bound on reads. Tried five ways (a byte each 50 us or without a pause, no delay of small writes, begun beforehand, from three threads): 1 ms without a byte comes soon enough on a machine with other work. So that bound is held by reasoning alone.

HttpGetTest 12, ToldInTimeTest 20, LongPollTest 33 pass.

--- a/src/main/java/postbeam/discovery/HttpGet.java
+++ b/src/main/java/postbeam/discovery/HttpGet.java
@@ -27,6 +27,13 @@
     /** Bytes: a head here holds a hundred or two, and so does a line between chunks. */
     private static final int LONGEST_HEAD = 8 << 10;
     private static final int BUFFER = 4 << 10;
+    /**
+     * Reads: what has come is read before time is judged, as a thread may have waited for its core meanwhile. So past a
+     * limit each read still has 1 ms, for as often as the longest answer fills the buffer and so many times more: for a
+     * head, the parts of an answer, and its end. It could hurt where an answer trickles faster than that: it is given
+     * up so many ms late, some 70 for a list of 256 KiB.
+     */
+    private static final int READS_LATE = 6;
 
     /**
      * The longest that connecting may take, the beginning of an answer from its question, the rest of it from there,
@@ -42,6 +49,8 @@
     private long end;
     /** When what is read next has to be there. */
     private long due;
+    /** How often something may still be read once that has passed. */
+    private int readsLate;
     private InputStream in;
     private volatile Socket socket;
     private boolean closed;
@@ -53,6 +62,7 @@
     /** The body of a 200 of up to so many bytes; an IOException says why there is none within these limits. */
     byte[] get(String path, int longest, Limits limits) throws IOException {
         end = System.nanoTime() + limits.whole().toNanos();
+        readsLate = READS_LATE + longest / BUFFER;
         boolean whole = false;
         try {
             Socket to = socket;
@@ -105,13 +115,9 @@
         return Math.min(end, System.nanoTime() + limit.toNanos());
     }
 
-    /** What is left of the time, in ms; at least 1. */
-    private int left() throws SocketTimeoutException {
-        long left = due - System.nanoTime();
-        if (left <= 0) {
-            throw new SocketTimeoutException();
-        }
-        return (int) (left / 1_000_000 + 1);
+    /** What is left until what is read next is due, in ms; at least 1, also when that has passed. */
+    private int left() {
+        return (int) Math.max(1, (due - System.nanoTime()) / 1_000_000 + 1);
     }
 
     /** The next byte, or -1 at the end. */
@@ -124,6 +130,9 @@
         if (from == null) {
             throw new IOException("closed");
         }
+        if (due - System.nanoTime() <= 0 && readsLate-- == 0) {
+            throw new SocketTimeoutException();
+        }
         from.setSoTimeout(left());
         at = 0;
         filled = Math.max(0, in.read(buffer));
