Tests stop the watch of discovery as it connects, reads, pauses, decodes and tells

Need: SIGHUP moves discovery, and nothing of the old one may be told once stop has returned. No fault was found. Each place is forced: a full queue of connections (the next never comes up), a list that stays silent or half, a latch in the pause, in the decoding and in the telling; waits of 5 minutes, so that only the stop can end them.

Checked: with http.close() and the lock with its look at `stopped` taken out of LongPoll, three of the tests were run and fail: whileItConnects ("it goes on", 20 s), whileItDecodes ("expected: <null> but was: <1>"), whileItTells ("the stop has returned while a list is being told"). The four others were not run so. As it stands StopTest 7 pass.

--- /dev/null
+++ b/src/test/java/postbeam/discovery/StopTest.java
@@ -0,0 +1,164 @@
+package postbeam.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import postbeam.roster.Asking;
+
+/** Stopped wherever it stands, by waits so long that only the stop can end them. */
+@Timeout(60)
+class StopTest {
+    private static final Duration LONG = Duration.ofMinutes(5);
+    private static final Asking.Pace PATIENT = new Asking.Pace(LONG, LONG, LONG, after -> LONG, after -> LONG, LONG);
+
+    private final BlockingQueue<Long> told = new LinkedBlockingQueue<>();
+
+    private static LongPoll<Long> watch(String address, LongPoll.Reading<Long> reading, Consumer<Long> told) {
+        return new LongPoll<>(new LongPoll.Source("discovery", address, "/v1/servers", 1000), reading,
+                version -> version, told, PATIENT);
+    }
+
+    private static void awaitIn(Thread thread, String method) {
+        while (Arrays.stream(thread.getStackTrace()).noneMatch(frame -> frame.getMethodName().equals(method))) {
+            assertTrue(thread.isAlive(), "it has ended");
+            Thread.onSpinWait();
+        }
+    }
+
+    private void assertStops(LongPoll<Long> watch, Thread following) throws InterruptedException {
+        watch.stop();
+        following.join(Duration.ofSeconds(20).toMillis());
+        assertFalse(following.isAlive(), "it goes on");
+        assertNull(told.peek());
+    }
+
+    /** A full queue of connections: the next one never comes up. */
+    @Test
+    void whileItConnects() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> waiting = new ArrayList<>();
+            try {
+                while (true) {
+                    Socket socket = new Socket();
+                    waiting.add(socket);
+                    socket.connect(new InetSocketAddress(full.getInetAddress(), full.getLocalPort()), 500);
+                }
+            } catch (SocketTimeoutException e) {
+                assertTrue(waiting.size() > 1);
+            }
+            LongPoll<Long> watch = watch("127.0.0.1:" + full.getLocalPort(), body -> 1L, told::add);
+            Thread following = StandInAgent.daemon(watch::run);
+            awaitIn(following, "timedFinishConnect");
+            assertStops(watch, following);
+            for (Socket socket : waiting) {
+                socket.close();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nContent-", "HTTP/1.1 200 OK\r\n\r\n12"})
+    void whileItReadsAList(String start) throws Exception {
+        try (StandInAgent agent = new StandInAgent()) {
+            LongPoll<Long> watch = watch(agent.address(), body -> 1L, told::add);
+            Thread following = StandInAgent.daemon(watch::run);
+            agent.call().say(start);
+            awaitIn(following, "timedRead");
+            assertStops(watch, following);
+        }
+    }
+
+    @Test
+    void whileItWaitsAfterAFailure() throws Exception {
+        try (StandInAgent agent = new StandInAgent()) {
+            CountDownLatch paused = new CountDownLatch(1);
+            Asking.Pace pace = new Asking.Pace(LONG, LONG, LONG, after -> LONG, after -> {
+                paused.countDown();
+                return Duration.ofMillis(500);
+            }, LONG);
+            LongPoll<Long> watch = new LongPoll<>(new LongPoll.Source("discovery", agent.address(), "/v1/servers",
+                    1000), body -> 1L, version -> version, told::add, pace);
+            Thread following = StandInAgent.daemon(watch::run);
+            agent.call().reset();
+            paused.await();
+            assertStops(watch, following);
+            assertEquals(1, agent.connections());
+        }
+    }
+
+    /** The stop doesn't wait for a list that is decoded, and what comes of it isn't told. */
+    @Test
+    void whileItDecodes() throws Exception {
+        CountDownLatch decodes = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        try (StandInAgent agent = new StandInAgent()) {
+            LongPoll<Long> watch = watch(agent.address(), body -> {
+                decodes.countDown();
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+                return 1L;
+            }, told::add);
+            Thread following = StandInAgent.daemon(watch::run);
+            agent.call().whole("1");
+            decodes.await();
+            watch.stop();
+            go.countDown();
+            assertStops(watch, following);
+        }
+    }
+
+    /** What is being told when it is stopped has been told once the stop returns, and nothing after it. */
+    @Test
+    void whileItTells() throws Exception {
+        CountDownLatch tells = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        List<Long> done = new ArrayList<>();
+        try (StandInAgent agent = new StandInAgent()) {
+            LongPoll<Long> watch = watch(agent.address(), body -> 1L, version -> {
+                tells.countDown();
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+                done.add(version);
+            });
+            Thread following = StandInAgent.daemon(watch::run);
+            agent.call().whole("1");
+            tells.await();
+            Thread stopping = StandInAgent.daemon(watch::stop);
+            while (stopping.getState() != Thread.State.BLOCKED) {
+                assertTrue(stopping.isAlive(), "the stop has returned while a list is being told");
+                Thread.onSpinWait();
+            }
+            go.countDown();
+            stopping.join();
+            following.join(Duration.ofSeconds(20).toMillis());
+            assertFalse(following.isAlive(), "it goes on");
+            assertEquals(List.of(1L), done);
+        }
+    }
+}
