roster.Asking is called DiscoveryPacing

A rename and nothing else: two classes were called Asking, the other being a part of a query in slices, and this one holds the times by which discovery is polled and the backoff after failures. AskingTest becomes DiscoveryPacingTest.

--- a/src/main/java/postbeam/benchlink/Instance.java
+++ b/src/main/java/postbeam/benchlink/Instance.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 import postbeam.Decide;
 import postbeam.Host;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.roster.Entry;
 import postbeam.roster.Roster;
 import postbeam.setup.Assembly;
@@ -41,7 +41,7 @@
     private final Map<String, Part> parts = new HashMap<>();
     private final Map<Object, String> ids = new IdentityHashMap<>();
     private final Decide decide;
-    private final Asking asking;
+    private final DiscoveryPacing asking;
     private Duration bell;
 
     Instance(int id, long seed, Info info, long nowMicros, StringBuilder out) {
--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 
 /**
  * Follows something that has versions over HTTP, on a thread of its own, so that nothing stands before what is told:
@@ -31,12 +31,12 @@
     private final Reading<T> reading;
     private final ToLongFunction<T> version;
     private final Consumer<T> told;
-    private final Asking.Pace pace;
+    private final DiscoveryPacing.Pace pace;
     private volatile boolean stopped;
     private int failures;
 
     public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told,
-            Asking.Pace pace) {
+            DiscoveryPacing.Pace pace) {
         this.source = source;
         this.http = new HttpGet(source.address());
         this.reading = reading;
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -1,7 +1,7 @@
 package postbeam.discovery;
 
 import java.util.function.Consumer;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
 
@@ -12,7 +12,7 @@
 
     private Watch() {}
 
-    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, Asking.Pace pace) {
+    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, DiscoveryPacing.Pace pace) {
         return new LongPoll<>(new LongPoll.Source("discovery", address, "/v1/servers", LONGEST),
                 body -> ListForm.read(Json.object(body), cells), Told::version, told, pace);
     }
--- a/src/main/java/postbeam/layouts/LayoutService.java
+++ b/src/main/java/postbeam/layouts/LayoutService.java
@@ -31,7 +31,7 @@
 import postbeam.migration.MigrationLimits;
 import postbeam.migration.Migrations;
 import postbeam.migration.Said;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.roster.Entry;
 import postbeam.roster.Told;
 import postbeam.setup.Json;
@@ -118,7 +118,7 @@
         this.book = new Book(place.history());
         this.coordinator = new Coordinator(book, place.limits());
         this.orders = new NodeOrders(this::done);
-        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, Asking.SOON);
+        this.watch = Watch.of(place.discovery(), Integer.MAX_VALUE, this::listed, DiscoveryPacing.SOON);
         moves.setDaemon(true);
     }
 
--- a/src/main/java/postbeam/layouts/LayoutWatch.java
+++ b/src/main/java/postbeam/layouts/LayoutWatch.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import postbeam.discovery.LongPoll;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.setup.Json;
 import postbeam.slices.Layout;
 
@@ -31,6 +31,6 @@
     /** A router that says at each question who it is and which layout it holds: {@link #says}. */
     public static LongPoll<Layout> of(String address, Consumer<Layout> told, Supplier<String> says) {
         return new LongPoll<>(new LongPoll.Source("layouts", address, "/v1/layout", LONGEST, says),
-                body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told, Asking.SOON);
+                body -> LayoutForm.read(Json.object(body)), layout -> layout.version, told, DiscoveryPacing.SOON);
     }
 }
--- a/src/main/java/postbeam/roster/Asking.java
+++ b/src/main/java/postbeam/roster/DiscoveryPacing.java
@@ -10,7 +10,7 @@
  * pause is drawn, and longer at first. It could hurt where a pause outlasts the outage: hence {@code ROOM}. No I/O,
  * clock or thread.
  */
-public final class Asking {
+public final class DiscoveryPacing {
     /**
      * What discovery had and could be reached for counts as told so much later, whatever calls were then out, had
      * failed or had been refused: by the protocol.
@@ -93,7 +93,7 @@
     private Duration at;
 
     /** Whether discovery has to be asked, and within which time again; null for that where it is not stated. */
-    public Asking(boolean needed, Duration askEvery, Random chance) {
+    public DiscoveryPacing(boolean needed, Duration askEvery, Random chance) {
         this.needed = needed;
         this.askEvery = askEvery;
         this.chance = chance;
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -23,7 +23,7 @@
 import postbeam.discovery.Watch;
 import postbeam.layouts.LayoutWatch;
 import postbeam.pages.Ask;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.roster.Told;
 import postbeam.setup.Assembly;
 import postbeam.setup.Info;
@@ -61,7 +61,7 @@
     private Startup held;
     private LongPoll<Told> watch;
     /** How discovery is asked. */
-    private final Asking.Pace pace;
+    private final DiscoveryPacing.Pace pace;
     private final XnioWorker worker;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final String started;
@@ -137,7 +137,8 @@
         held = startup;
         Random chance = new Random(startup.seed());
         Duration askEvery = settings.span("obligations.askEvery");
-        pace = "subscribe".equals(settings.text("discovery")) ? Asking.priced(askEvery, chance) : Asking.FREE;
+        pace = "subscribe".equals(settings.text("discovery")) ? DiscoveryPacing.priced(askEvery, chance)
+                : DiscoveryPacing.FREE;
         watch = Watch.of(discovery, cells, this::listed, pace);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
--- a/src/main/java/postbeam/setup/Assembly.java
+++ b/src/main/java/postbeam/setup/Assembly.java
@@ -5,7 +5,7 @@
 import java.util.Random;
 import postbeam.Decide;
 import postbeam.Host;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.state.Customer;
 import postbeam.state.Effect;
 import postbeam.state.Fleet;
@@ -76,11 +76,11 @@
     }
 
     /** Whether discovery has to be asked; without the setting it tells by itself. */
-    public static Asking asking(Info info, Random chance) {
+    public static DiscoveryPacing asking(Info info, Random chance) {
         String how = info.text("discovery");
         if (how != null && !how.equals("automatic") && !how.equals("subscribe")) {
             throw info.bad("discovery", "must be automatic or subscribe, not " + how);
         }
-        return new Asking("subscribe".equals(how), info.span("obligations.askEvery"), chance);
+        return new DiscoveryPacing("subscribe".equals(how), info.span("obligations.askEvery"), chance);
     }
 }
--- a/src/test/java/postbeam/AskingTest.java
+++ b/src/test/java/postbeam/DiscoveryPacingTest.java
@@ -11,10 +11,10 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 
-class AskingTest {
-    private final Asking asking = new Asking(true, ms(10_000), new Random(1));
+class DiscoveryPacingTest {
+    private final DiscoveryPacing asking = new DiscoveryPacing(true, ms(10_000), new Random(1));
 
     @Test
     void itIsAskedAtOnceAndAfterEachFailureLaterAndLaterUntilTheWatchHolds() {
@@ -36,7 +36,7 @@
 
     @Test
     void routersThatFailedTogetherDoNotAskAgainTogether() {
-        Asking other = new Asking(true, ms(10_000), new Random(2));
+        DiscoveryPacing other = new DiscoveryPacing(true, ms(10_000), new Random(2));
         asking.answered(ms(0), true);
         other.answered(ms(0), true);
         assertNotEquals(asking.at(), other.at());
@@ -47,7 +47,7 @@
         assertTrue(asking.due(ms(0)));
         assertFalse(asking.due(ms(2_200)));
         assertTrue(asking.due(ms(2_300)));
-        Asking unneeded = new Asking(false, null, new Random(1));
+        DiscoveryPacing unneeded = new DiscoveryPacing(false, null, new Random(1));
         assertFalse(unneeded.due(Duration.ofHours(1)));
         unneeded.answered(ms(0), true);
         assertNull(unneeded.at());
@@ -76,7 +76,7 @@
      * The longest that a call may be out which began before discovery was back, the longest pause, and a whole list;
      * and so many times a pause and a list that fails all the same.
      */
-    private static long untilTold(Asking.Pace pace, int failAfter) {
+    private static long untilTold(DiscoveryPacing.Pace pace, int failAfter) {
         long out = Math.max(pace.hold().plus(pace.over()).toMillis(), pace.answer().toMillis());
         return out + (1 + failAfter) * (pace.longestPause().toMillis() + pace.answer().toMillis());
     }
@@ -86,7 +86,7 @@
         int paces = 0;
         for (Random chance : CHANCES) {
             for (Duration askEvery : ASK_EVERY) {
-                Asking.Pace priced = Asking.priced(askEvery, chance);
+                DiscoveryPacing.Pace priced = DiscoveryPacing.priced(askEvery, chance);
                 assertTrue(untilTold(priced, 0) <= ROOM_MILLIS, askEvery + ": " + untilTold(priced, 0));
                 for (int failures = 1; failures <= 200; failures++) {
                     long pause = priced.pause().apply(failures).toMillis();
@@ -99,10 +99,10 @@
                 paces++;
             }
         }
-        assertTrue(untilTold(Asking.FREE, 1) <= ROOM_MILLIS, "free: " + untilTold(Asking.FREE, 1));
+        assertTrue(untilTold(DiscoveryPacing.FREE, 1) <= ROOM_MILLIS, "free: " + untilTold(DiscoveryPacing.FREE, 1));
         for (int failures = 0; failures <= 200; failures++) {
-            assertEquals(Asking.FREE.longestPause(), Asking.FREE.pause().apply(failures));
-            assertTrue(Asking.FREE.begin().apply(failures).compareTo(Asking.FREE.answer()) <= 0);
+            assertEquals(DiscoveryPacing.FREE.longestPause(), DiscoveryPacing.FREE.pause().apply(failures));
+            assertTrue(DiscoveryPacing.FREE.begin().apply(failures).compareTo(DiscoveryPacing.FREE.answer()) <= 0);
         }
         assertEquals(45, paces);
     }
@@ -112,13 +112,14 @@
     void theAgentsReturnIsNoticedWithinTheShortestGrace() {
         long out = 0;
         for (int failures = 0; out < 6_000; failures++) {
-            long call = Asking.FREE.begin().apply(failures).toMillis() + Asking.FREE.pause().apply(failures).toMillis();
+            long call = DiscoveryPacing.FREE.begin().apply(failures)
+                    .plus(DiscoveryPacing.FREE.pause().apply(failures)).toMillis();
             assertTrue(call <= 400, call + " after " + failures + " failures");
             out += call;
         }
         // An agent that takes longer to begin, but no longer than an answer may, is heard all the same.
         assertTrue(IntStream.range(0, 30).anyMatch(failures ->
-                Asking.FREE.begin().apply(failures).equals(Asking.FREE.answer())));
+                DiscoveryPacing.FREE.begin().apply(failures).equals(DiscoveryPacing.FREE.answer())));
     }
 
     /** The simulator's wire: an ask that is never answered, one that fails late, the pause, and an ask of 2 s. */
@@ -126,7 +127,7 @@
     void anAskIsUnderTheSameBoundWhateverTheSettingsSay() {
         for (Random chance : CHANCES) {
             for (Duration askEvery : ASK_EVERY) {
-                Asking state = new Asking(true, askEvery, chance);
+                DiscoveryPacing state = new DiscoveryPacing(true, askEvery, chance);
                 Duration now = Duration.ZERO;
                 for (int failures = 1; failures <= 200; failures++) {
                     assertTrue(state.due(now));
--- a/src/test/java/postbeam/discovery/LongPollTest.java
+++ b/src/test/java/postbeam/discovery/LongPollTest.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 import postbeam.roster.Told;
 
 /** Against a discovery on loopback that answers as it is told to: the body of a list is its version alone. */
@@ -64,7 +64,8 @@
 
     private LongPoll<Long> watch(int port) {
         return new LongPoll<>(new LongPoll.Source("discovery", "127.0.0.1:" + port, "/v1/servers", 1000),
-                body -> read(new String(body, StandardCharsets.UTF_8)), version -> version, told::add, Asking.FREE);
+                body -> read(new String(body, StandardCharsets.UTF_8)), version -> version, told::add,
+                DiscoveryPacing.FREE);
     }
 
     private static long read(String body) throws IOException {
@@ -286,7 +287,7 @@
             whole(out, list);
         };
         BlockingQueue<Told> lists = new LinkedBlockingQueue<>();
-        LongPoll<Told> follows = Watch.of("127.0.0.1:" + server.getLocalPort(), 9, lists::add, Asking.FREE);
+        LongPoll<Told> follows = Watch.of("127.0.0.1:" + server.getLocalPort(), 9, lists::add, DiscoveryPacing.FREE);
         daemon(follows::run);
         Told read = lists.poll(GIVEN_UP_SECONDS, TimeUnit.SECONDS);
         follows.stop();
--- a/src/test/java/postbeam/discovery/StopTest.java
+++ b/src/test/java/postbeam/discovery/StopTest.java
@@ -23,13 +23,14 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 
 /** Stopped wherever it stands, by waits so long that only the stop can end them. */
 @Timeout(60)
 class StopTest {
     private static final Duration LONG = Duration.ofMinutes(5);
-    private static final Asking.Pace PATIENT = new Asking.Pace(LONG, LONG, LONG, after -> LONG, after -> LONG, LONG);
+    private static final DiscoveryPacing.Pace PATIENT =
+            new DiscoveryPacing.Pace(LONG, LONG, LONG, after -> LONG, after -> LONG, LONG);
 
     private final BlockingQueue<Long> told = new LinkedBlockingQueue<>();
 
@@ -92,7 +93,7 @@
     void whileItWaitsAfterAFailure() throws Exception {
         try (StandInAgent agent = new StandInAgent()) {
             CountDownLatch paused = new CountDownLatch(1);
-            Asking.Pace pace = new Asking.Pace(LONG, LONG, LONG, after -> LONG, after -> {
+            DiscoveryPacing.Pace pace = new DiscoveryPacing.Pace(LONG, LONG, LONG, after -> LONG, after -> {
                 paused.countDown();
                 return Duration.ofMillis(500);
             }, LONG);
--- a/src/test/java/postbeam/discovery/ToldInTimeTest.java
+++ b/src/test/java/postbeam/discovery/ToldInTimeTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import postbeam.roster.Asking;
+import postbeam.roster.DiscoveryPacing;
 
 /**
  * What discovery had and could be reached for counts as told 6 s later, whatever calls were out, had failed or had been
@@ -52,19 +52,20 @@
         agent.close();
     }
 
-    private void follow(Asking.Pace pace) {
-        Asking.Pace counted = new Asking.Pace(pace.hold(), pace.over(), pace.answer(), pace.begin(), after -> {
-            failures.add(after);
-            return pace.pause().apply(after);
-        }, pace.longestPause());
+    private void follow(DiscoveryPacing.Pace pace) {
+        DiscoveryPacing.Pace counted = new DiscoveryPacing.Pace(pace.hold(), pace.over(), pace.answer(), pace.begin(),
+                after -> {
+                    failures.add(after);
+                    return pace.pause().apply(after);
+                }, pace.longestPause());
         watch = new LongPoll<>(new LongPoll.Source("discovery", agent.address(), "/v1/servers", 256 << 10),
                 body -> Long.parseLong(new String(body, StandardCharsets.UTF_8)), version -> version, told::add,
                 counted);
         StandInAgent.daemon(watch::run);
     }
 
-    private static Asking.Pace priced() {
-        return Asking.priced(Duration.ofSeconds(10), new Random(5));
+    private static DiscoveryPacing.Pace priced() {
+        return DiscoveryPacing.priced(Duration.ofSeconds(10), new Random(5));
     }
 
     private static void fail(StandInAgent.Call call, Fails how) throws Exception {
@@ -95,7 +96,7 @@
     @ParameterizedTest
     @EnumSource
     void aSilentWatchAndOneMoreFailedCallAtTheAgent(Fails how) throws Exception {
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         StandInAgent.Call silent = watchAfter(1);
         StandInAgent.Call failed = agent.call();
         assertEquals("/v1/servers", failed.path());
@@ -140,7 +141,7 @@
     @ValueSource(ints = {1, 5})
     void callsThatAreRefusedInARow(int refused) throws Exception {
         agent.refuse();
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         for (int failure = 1; failure <= refused; failure++) {
             assertEquals(failure, failures.take());
         }
@@ -154,7 +155,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 5})
     void theAgentIsHeardAtOnceOnceItIsBack(int silent) throws Exception {
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         StandInAgent.Call unanswered = null;
         for (int calls = 0; calls < silent; calls++) {
             unanswered = agent.call();
@@ -166,7 +167,7 @@
     /** An agent that is slow to begin is heard, if not at once. */
     @Test
     void anAgentThatIsAlwaysSlowToBeginIsHeard() throws Exception {
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         while (told.isEmpty()) {
             StandInAgent.Call call = agent.call();
             StandInAgent.daemon(() -> {
@@ -181,7 +182,7 @@
     @ParameterizedTest
     @ValueSource(longs = {20_000_000, 1_000_000, 1_000})
     void aListThatTricklesIsGivenUpByItsDeadlineAndAskedForAnew(long everyNanos) throws Exception {
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         StandInAgent.Call trickles = agent.call();
         trickles.trickle(everyNanos);
         StandInAgent.Call asked = agent.call();
@@ -196,7 +197,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\n\r\n8", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n8"})
     void aBodyWithoutALengthThatIsResetIsNotTaken(String start) throws Exception {
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         StandInAgent.Call reset = agent.call();
         reset.say(start);
         reset.reset();
@@ -210,7 +211,7 @@
     /** Nor in the middle of a watch, whose end in order is one. */
     @Test
     void aBodyWithoutALengthIsTakenWhereItEndsAndNotWhereItIsReset() throws Exception {
-        follow(Asking.FREE);
+        follow(DiscoveryPacing.FREE);
         StandInAgent.Call ends = watchAfter(1);
         ends.say("HTTP/1.1 200 OK\r\n\r\n2");
         ends.socket().shutdownOutput();
