--- a/src/main/java/postbeam/rig/Load.java
+++ b/src/main/java/postbeam/rig/Load.java
@@ -153,6 +153,9 @@
                 http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray());
         answer.whenComplete((response, failure) -> {
             try {
+                if (failure != null) {
+                    stage.seen().unanswered(stage.now(), id, String.valueOf(failure));
+                }
                 over(query, id, router, response);
             } catch (IOException e) {
                 statuses.computeIfAbsent(-2, key -> new AtomicInteger()).incrementAndGet();
--- a/src/main/java/postbeam/rig/Referee.java
+++ b/src/main/java/postbeam/rig/Referee.java
@@ -66,6 +66,8 @@
         final Map<KeyRange, Duration> sent = new LinkedHashMap<>();
         final Map<KeyRange, Duration> ran = new LinkedHashMap<>();
         final Map<String, KeyRange> out = new LinkedHashMap<>();
+        /** What the client saw in place of an answer, for the verdict's reader. */
+        String seenInstead = "";
         boolean answered;
         boolean left;
         boolean rejected;
@@ -269,6 +271,13 @@
         finished(now, query);
     }
 
+    /** It stays without an answer, which {@link #end} holds against its router; this says how that came. */
+    @Override
+    public synchronized void unanswered(Duration now, String query, String seen) {
+        queries.get(query).seenInstead = "; its client saw after " + now.minus(queries.get(query).askedAt).toMillis()
+                + " ms: " + seen;
+    }
+
     /** An answer; the layout is the one that it says it counts by. */
     @Override
     public synchronized void answered(Duration now, String query, boolean whole, long counted, List<Value> values) {
@@ -314,7 +323,7 @@
     synchronized void end(Duration now) {
         for (Watched q : queries.values()) {
             if (!q.answered && !q.left && now.compareTo(q.until.plus(slack)) > 0) {
-                breaks(now, 1, q.id, "-", "no answer");
+                breaks(now, 1, q.id, "-", "no answer" + q.seenInstead);
             }
         }
     }
--- a/src/main/java/postbeam/rig/Testimony.java
+++ b/src/main/java/postbeam/rig/Testimony.java
@@ -47,6 +47,11 @@
         add(now, to -> to.failed(now, query));
     }
 
+    @Override
+    public void unanswered(Duration now, String query, String seen) {
+        add(now, to -> to.unanswered(now, query, seen));
+    }
+
     @Override
     public void answered(Duration now, String query, boolean whole, long counted, List<Referee.Value> values) {
         add(now, to -> to.answered(now, query, whole, counted, values));
--- a/src/main/java/postbeam/rig/Witness.java
+++ b/src/main/java/postbeam/rig/Witness.java
@@ -17,6 +17,9 @@
 
         void failed(Duration now, String query);
 
+        /** No answer has come, and none will: what the client saw instead. */
+        void unanswered(Duration now, String query, String seen);
+
         void answered(Duration now, String query, boolean whole, long counted, List<Referee.Value> values);
     }
 
--- a/src/test/java/postbeam/rig/TestimonyTest.java
+++ b/src/test/java/postbeam/rig/TestimonyTest.java
@@ -78,6 +78,8 @@
     void rule1NoAnswerTwoAnswersAndALateOne() throws IOException {
         asks(0, "q1", "r0", Referee.Kind.REPEATABLE);
         breaks(1, "no answer");
+        here.unanswered(at(40), "q1", "a closed connection");
+        breaks(1, "no answer; its client saw after 40 ms: a closed connection");
         answers(50, "q1", false, OTHER);
         answers(60, "q1", false, OTHER);
         breaks(1, "second final answer");
