The plant of whole budgets is judged where a cold node was sent too much

Seen: TogetherIT's routersThatEachTakeTheWholeBudgetAreCaught once did not catch its plant, on four busy cores.

The rule's sum grows from 0.8 s of work a second to 4 s within the 6 s in which the node is cold, and the test waited for 100 calls however long they took. At full speed they came in 1.1 s and the sum was passed by little (1.26 s of 1.255 s); at half of it the sum is never passed, and there is nothing to catch: the test was impatient, the referee right.

Now the node's own lines are added up in the test, apart from the referee; a cold start in which they are not over the sum is followed by another, ten at most, and the first that is must be caught. No expectation is loosened: where too much was sent it must be told in that cold start, by a line that names the node; a machine on which it never was still fails, and says so.

--- a/src/test/java/postbeam/rig/TogetherIT.java
+++ b/src/test/java/postbeam/rig/TogetherIT.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -16,6 +19,8 @@
     /** Queries a second. */
     private static final double RATE = 100;
     private static final int SHARDS = 8;
+    /** After which the machine is held to be too busy for the plant to show. */
+    private static final int COLD_STARTS = 10;
 
     private ProcessFleet fleet;
     private ProcessFleet.Clients clients;
@@ -97,14 +102,44 @@
         assertEquals(List.of(), clients.broken());
     }
 
-    /** Rule 4's sum is one that no router sees: each keeps to what it takes for its own. */
+    /**
+     * By the node's own lines and nothing else: whether some second of its present life brought more than it may be
+     * sent when that second ends. Twice what it does when so warm, two cores' work when warm; one call is left for chance.
+     */
+    private boolean sentTooMuch(String node) throws IOException {
+        List<Double> calls = new ArrayList<>();
+        double started = 0;
+        for (String line : Files.readAllLines(fleet.file(node + ".seen"))) {
+            if (line.startsWith("started ")) {
+                started = Long.parseLong(line.split(" ")[1]) / 1e9;
+                calls.clear();
+            } else if (line.startsWith("called ")) {
+                calls.add(Long.parseLong(line.split(" ")[1]) / 1e9 - started);
+            }
+        }
+        double ramp = ProcessFleet.RAMP.toMillis() / 1e3;
+        double work = ProcessFleet.WORK.toMillis() / 1e3;
+        return calls.stream().filter(end -> end < ramp).anyMatch(end -> work
+                * (calls.stream().filter(at -> end - 1 < at && at <= end).count() - 1) > 4 * (0.2 + 0.8 * end / ramp));
+    }
+
+    /**
+     * Rule 4's sum is one that no router sees: each keeps to what it takes for its own. It is passed only where enough
+     * is asked while the node is cold; where the machine was too busy for that, the node starts cold once more.
+     */
     @Test
     void routersThatEachTakeTheWholeBudgetAreCaught() throws Exception {
         stage(3, 5, (all, file, text) -> text.replace("\"nInstances\":5", "\"nInstances\":1"));
-        fleet.kill("n0");
-        fleet.start("n0");
-        fleet.until("n0 carries work", () -> fleet.calls("n0") > 100);
+        int starts = 0;
+        do {
+            assertTrue(starts++ < COLD_STARTS, "in no cold start was n0 sent too much");
+            fleet.kill("n0");
+            fleet.start("n0");
+            fleet.until("n0 carries work", () -> fleet.calls("n0") > 100);
+        } while (!sentTooMuch("n0"));
+        System.out.println("sent too much in cold start " + starts);
         List<String> broken = clients.broken();
-        assertTrue(broken.stream().anyMatch(line -> line.startsWith("rule 4")), broken.toString());
+        assertTrue(broken.stream().anyMatch(line -> line.startsWith("rule 4") && line.contains("cold node n0")),
+                broken.toString());
     }
 }
