--- a/src/test/java/postbeam/rig/RouterIT.java
+++ b/src/test/java/postbeam/rig/RouterIT.java
@@ -391,7 +391,8 @@
             out.lines().forEach(log::add);
             return null;
         });
-        until(() -> program.isAlive() && status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("200"));
+        until(() -> program.isAlive()
+                && status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("200"));
     }
 
     /** Whole at any time: the program may be reading it for an earlier signal. */
--- a/src/test/java/postbeam/rig/TogetherIT.java
+++ b/src/test/java/postbeam/rig/TogetherIT.java
@@ -104,7 +104,8 @@
 
     /**
      * By the node's own lines and nothing else: whether some second of its present life brought more than it may be
-     * sent when that second ends. Twice what it does when so warm, two cores' work when warm; one call is left for chance.
+     * sent when that second ends. Twice what it does when so warm, two cores' work when warm; one call is left for
+     * chance.
      */
     private boolean sentTooMuch(String node) throws IOException {
         List<Double> calls = new ArrayList<>();
