RouterIT: every program starts with SIGHUP at its default

The SIGHUP test started its program by a copy of `run`, so that one ignored by a parent (nohup) is heard. Now all tests of the class do, by the one `run`; the copy is gone, and no check with it. A start before its router (pipe) needs it as well.

--- a/src/test/java/postbeam/rig/RouterIT.java
+++ b/src/test/java/postbeam/rig/RouterIT.java
@@ -113,7 +113,9 @@
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow().split("\"")[1];
         String command = more.length > 0 ? run.replaceAll("serve$", String.join(" ", more)) : run;
-        ProcessBuilder start = new ProcessBuilder("/bin/sh", "-c", command).redirectErrorStream(true);
+        // SIGHUP at its default: where a parent ignores it, as nohup does, the program would not hear it.
+        ProcessBuilder start = new ProcessBuilder("env", "--default-signal=HUP", "/bin/sh", "-c", command)
+                .redirectErrorStream(true);
         start.environment().put("BALANCER_CONFIG", file.toString());
         program = start.start();
         log = new LinkedBlockingQueue<>();
@@ -376,25 +378,6 @@
 
     // ---- reload
 
-    /** Serves with SIGHUP at its default: where a parent ignores it, as nohup does, the program would not hear it. */
-    private void servingWithSighup(String config) throws Exception {
-        Path file = Files.writeString(dir.resolve("config.json"), config);
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow().split("\"")[1];
-        ProcessBuilder start = new ProcessBuilder("env", "--default-signal=HUP", "/bin/sh", "-c", run)
-                .redirectErrorStream(true);
-        start.environment().put("BALANCER_CONFIG", file.toString());
-        program = start.start();
-        log = new LinkedBlockingQueue<>();
-        BufferedReader out = program.inputReader();
-        daemon(() -> {
-            out.lines().forEach(log::add);
-            return null;
-        });
-        until(() -> program.isAlive()
-                && status("GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n").startsWith("200"));
-    }
-
     /** Whole at any time: the program may be reading it for an earlier signal. */
     private void reload(String config) throws Exception {
         Path next = Files.writeString(dir.resolve("next.json"), config);
@@ -420,7 +403,7 @@
     @Test
     void sighupReadsTheConfigurationAgainAndDiscoveryMoves() throws Exception {
         String config = config("null");
-        servingWithSighup(config);
+        serving(config);
         ScriptedNode second = node();
         StandInDiscovery next = discovery(second.entry("n2", "up"));
         String moved = config.replace("127.0.0.1:" + discovery.server.getLocalPort(),
