After a standstill of the whole process nothing is decided before discovery was heard

At fault: Decisions.turn decides at once on what came meanwhile, and the thread that follows discovery has its turn when it comes (LongPoll).

Now a router that has not heard discovery, nor found it silent, for 5 s waits with its decisions until it has, 1 s at most. That is longer than a watch and its pause may take, so that it means that the process stood still. A silent discovery counts: the list held serves on, as it did.

It could hurt where what follows discovery has died: one wait of 1 s then.

--- a/src/main/java/postbeam/discovery/LongPoll.java
+++ b/src/main/java/postbeam/discovery/LongPoll.java
@@ -32,11 +32,19 @@
     private final ToLongFunction<T> version;
     private final Consumer<T> told;
     private final DiscoveryPacing.Pace pace;
+    private final Runnable followed;
     private volatile boolean stopped;
     private int failures;
 
     public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told,
             DiscoveryPacing.Pace pace) {
+        this(source, reading, version, told, pace, () -> { });
+    }
+
+    /** The last is run after each call, whether it told or failed. */
+    public LongPoll(Source source, Reading<T> reading, ToLongFunction<T> version, Consumer<T> told,
+            DiscoveryPacing.Pace pace, Runnable followed) {
+        this.followed = followed;
         this.source = source;
         this.http = new HttpGet(source.address());
         this.reading = reading;
@@ -63,6 +71,7 @@
                     }
                     told.accept(next);
                 }
+                followed.run();
                 // A watch that is answered with nothing new before its wait is over would be asked without end.
                 boolean idle = is == last && System.nanoTime() - asked < pace.hold().toNanos() / 2;
                 last = is;
@@ -81,6 +90,7 @@
                     LOG.log(System.Logger.Level.WARNING, "{0} at {1}: {2}; what is held stays", source.name(),
                             source.address(), e.toString());
                 }
+                followed.run();
                 // The whole again: what a half answer would have told is not lost.
                 last = -1;
                 pause(failures);
--- a/src/main/java/postbeam/discovery/Watch.java
+++ b/src/main/java/postbeam/discovery/Watch.java
@@ -13,7 +13,13 @@
     private Watch() {}
 
     public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, DiscoveryPacing.Pace pace) {
+        return of(address, cells, told, pace, () -> { });
+    }
+
+    /** The last is run after each call, whether it told or failed. */
+    public static LongPoll<Told> of(String address, int cells, Consumer<Told> told, DiscoveryPacing.Pace pace,
+            Runnable followed) {
         return new LongPoll<>(new LongPoll.Source("discovery", address, "/v1/servers", LONGEST),
-                body -> ListForm.read(Json.object(body), cells), Told::version, told, pace);
+                body -> ListForm.read(Json.object(body), cells), Told::version, told, pace, followed);
     }
 }
--- a/src/main/java/postbeam/router/Decisions.java
+++ b/src/main/java/postbeam/router/Decisions.java
@@ -50,6 +50,11 @@
     /** Two ticks of the simulator, on which the decisions were made: longer, and what comes would wait for it. */
     private static final Duration PAUSE_MOST = Duration.ofMillis(10);
 
+    /** Longer than a watch of the list and the pause after it may take (DiscoveryPacing): the process has stood still. */
+    private static final Duration UNFOLLOWED = Duration.ofSeconds(5);
+    /** How long the list is then waited for: a call to discovery that answers, and its pause. */
+    private static final Duration FOLLOWED_WITHIN = Duration.ofSeconds(1);
+
     private record Timer(Duration at, long number, Runnable event) { }
 
     /** A call that is out, and what ends it when its time is over. */
@@ -78,6 +83,10 @@
     /** When the turn under way may end, and whether something waits for that. */
     private Duration nextEnd = Duration.ZERO;
     private boolean endDue;
+    /** When discovery was last heard or found silent, by {@link System#nanoTime}; null where nothing follows it. */
+    private volatile Long followedAt;
+    /** Since when it is waited for after a standstill; null while it is not. */
+    private Duration unfollowedSince;
     private long ends;
     /** What has happened since the last end was about these, the latest first: one of them if deciding fails. */
     private final Deque<OpenQuery> fresh = new ArrayDeque<>();
@@ -343,6 +352,26 @@
         }
     }
 
+    /** Discovery was asked and has answered or failed to. */
+    public void followed() {
+        followedAt = System.nanoTime();
+    }
+
+    /**
+     * Guards against deciding by the list as it was before a standstill of the whole process (stopped, its machine
+     * paused): what it missed has long counted as told. It costs queries that wait meanwhile what one call to discovery
+     * takes, 1 s at most where that is silent, or where what follows it has died.
+     */
+    private boolean unfollowed(Duration now) {
+        Long at = followedAt;
+        if (at == null || System.nanoTime() - at < UNFOLLOWED.toNanos()) {
+            unfollowedSince = null;
+            return false;
+        }
+        unfollowedSince = unfollowedSince == null ? now : unfollowedSince;
+        return now.minus(unfollowedSince).compareTo(FOLLOWED_WITHIN) < 0;
+    }
+
     /** The version of the layout that is held; 0 for none. */
     public long layoutHeld() {
         lock.lock();
@@ -475,6 +504,9 @@
         if (about != null) {
             fresh.push(about);
         }
+        if (now.compareTo(nextEnd) >= 0 && unfollowed(now)) {
+            nextEnd = now.plus(PAUSE_MOST);
+        }
         if (now.compareTo(nextEnd) >= 0) {
             endTurn(now);
         } else if (!endDue) {
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -142,7 +142,7 @@
         Duration askEvery = settings.span("obligations.askEvery");
         pace = "subscribe".equals(settings.text("discovery")) ? DiscoveryPacing.priced(askEvery, chance)
                 : DiscoveryPacing.FREE;
-        watch = Watch.of(discovery, cells, this::listed, pace);
+        watch = Watch.of(discovery, cells, this::listed, pace, decisions::followed);
         leaveTimes = LeaveTimes.of(usualWaits.values());
         started = String.format("%s serves at %s: at most %d client connections, %d to data nodes",
                 startup.info.text("name"), listen, clientsMost, descriptors - clientsMost);
@@ -235,7 +235,7 @@
         boolean moved = !discovery.equals(held.address("discovery"));
         if (moved && stopped.getCount() > 0) {
             watch.stop();
-            watch = Watch.of(discovery, cells, this::listed, pace);
+            watch = Watch.of(discovery, cells, this::listed, pace, decisions::followed);
             thread("discovery", watch);
         }
         held = startup;
--- a/src/test/java/postbeam/rig/RouterIT.java
+++ b/src/test/java/postbeam/rig/RouterIT.java
@@ -828,6 +828,26 @@
         }
     }
 
+    /** The process stands still for longer than it may go without its list; both the list and a query have come by then. */
+    @Test
+    void aRouterThatStoodStillDoesNotSendByTheListItHeldBefore() throws Exception {
+        serving();
+        assertEquals("200", status(query("lookup", "q0", 3000, 0)).substring(0, 3));
+        for (int i = 1; i <= 3; i++) {
+            discovery.tell(node.entry("n1", "up"));
+            until(() -> status(query("lookup", "q" + System.nanoTime(), 3000, 0)).startsWith("200"));
+            held();
+            Thread.sleep(6000);
+            discovery.tell(node.entry("n1", "draining"));
+            try (Socket client = connect()) {
+                write(client, query("hold", "stood" + i, 3000, 0));
+                signal("CONT");
+                assertEquals("503", answer(client).substring(0, 3));
+            }
+            assertFalse(node.frames.stream().anyMatch(frame -> frame.startsWith("m stood")), node.frames.toString());
+        }
+    }
+
     /** Its client rests on its connection and sends on; the end must not come over unread bytes. */
     @Test
     void theLastAnswerIsFollowedByAnOrderlyCloseThoughItsClientSendsOn() throws Exception {
