--- a/src/test/java/postbeam/rig/RouterIT.java
+++ b/src/test/java/postbeam/rig/RouterIT.java
@@ -862,9 +862,9 @@
             node.send(node.sockets.get(0), "qq1.0 good 0 -\nx");
             until(() -> client.getInputStream().available() > 0);
             // A reset would end one of these.
-            for (int i = 0; i < 10; i++) {
+            for (int i = 0; i < 4; i++) {
                 write(client, "x".repeat(1000));
-                Thread.sleep(20);
+                Thread.sleep(25);
             }
             assertEquals("200", answer(client).substring(0, 3));
             assertEquals("closed", answer(client));
