Settings: no attempt at all is no error, as an older test has it

Seen: `mvn -B verify` on the state before: 319 run, 1 error, MixedShapesTest.anInstanceWhoseWorkIsAllowedForNoMoreThanOneCallIsSeenToStarve: "settings.caps.maxAttempts must be 1 or more, not 0". The test is right: a router can serve by 0, rejecting all, and a refused start is worse. ChecksTest 14 of 14 and that test pass.

--- a/src/main/java/postbeam/setup/Checks.java
+++ b/src/main/java/postbeam/setup/Checks.java
@@ -31,7 +31,9 @@
         for (String path : new String[] {"caps.maxStreams", "domain.reach", "domain.shards", "domain.partsACall"}) {
             info.atLeast(path, 1);
         }
-        atLeastOneIfTold(info, "nInstances", "caps.maxAttempts", "caps.mostHeld");
+        atLeastOneIfTold(info, "nInstances", "caps.mostHeld");
+        // None at all leaves a router that rejects everything, as it must.
+        between(info, "caps.maxAttempts", 0, Double.MAX_VALUE);
         if (info.atLeast("domain.cells", 1) > MOST_CELLS) {
             throw info.bad("domain.cells", "must be " + MOST_CELLS + " or less, not " + info.text("domain.cells"));
         }
