Invariant checker counts keys, not weights with a tolerance

The checker allowed 0.0001 to each sum of weights, more than the policy's own 0.00005, so no trial could see an answer marked complete without a part of less weight; and it held an honest subset of weights with few digits against the router. A share of 1 now takes all keys that were requested, a lower one that share of the query's own sum, up to floating-point error.

--- a/src/main/java/postbeam/testbed/verification/InvariantChecker.java
+++ b/src/main/java/postbeam/testbed/verification/InvariantChecker.java
@@ -406,7 +406,7 @@
         } else if (counted != q.version) {
             weight = Math.max(weight, weightBy(q, end, in));
         }
-        if (weight + 0.0001 < q.floor) {
+        if (!isReached(q, in, weight, q.floor)) {
             breaks(
                     now,
                     5,
@@ -414,7 +414,7 @@
                     "-",
                     String.format("answered with %.4f, under the floor of %.4f", weight, q.floor));
         }
-        if (whole && weight + 0.0001 < q.need) {
+        if (whole && !isReached(q, in, weight, q.need)) {
             breaks(
                     now,
                     5,
@@ -424,6 +424,20 @@
         }
     }
 
+    /**
+     * Whether the keys of an answer make up this share of the query: all of them for a share of 1,
+     * else up to the floating-point error of the sums of weights.
+     */
+    private static boolean isReached(
+            ObservedQuery q, List<KeyRange> in, double weight, double share) {
+        if (share >= 1) {
+            return q.requestedSlices.stream().allMatch(one -> covered(one.keys, in));
+        }
+        double total = q.requestedSlices.stream().mapToDouble(RequestedSlice::weight).sum();
+        int summands = q.requestedSlices.size() + in.size();
+        return weight + (summands + 1) * Math.ulp(1.0) * total >= share * total;
+    }
+
     private ObservedQuery finished(Duration now, String query) {
         ObservedQuery q = queries.get(query);
         if (q.answered) {
