Complete answers by requests, not by a tolerance of weight

What callers saw: an answer with "total":true that lacked a part of little weight (two parts of 0.99999 and 0.00001: complete with the first alone), and queries whose weights have few digits (three parts of 0.3333) rejected at once or marked incomplete with all parts in.

Cause: QueryCompletion.reaches added 0.00005 to every sum of weights and held it against a whole of 1, while QueryCodec accepts sums from 0.995 to 1.005. Query.requestsNeeded had a tolerance of its own, 0.001 of a request, with the same effect: a request that was needed for less was never sent.

Change: Query.isCoveredBy. A share of 1 takes all requests, whatever they weigh. A lower share is of the query's own sum of weights (for re-cut slices, of those that the client named), and may be missed by floating-point error only, bounded by the number of summands. requestsNeeded uses the same sums, so it is 0 if and only if the query is complete.

Looked at and without the fault: the last page of ordered pages (counts keys), LayoutCompleteness.completeParts (compares sums of the same parts).

--- a/src/main/java/postbeam/model/CompletenessRule.java
+++ b/src/main/java/postbeam/model/CompletenessRule.java
@@ -7,6 +7,15 @@
  * named them.
  */
 public interface CompletenessRule {
-    /** The weight, from 0 to 1, of the requests that match, in terms of one layout. */
+    /**
+     * The weight, from 0 to {@link #totalWeight}, of the requests that match, in terms of one
+     * layout.
+     */
     double weight(Query query, Predicate<ShardRequest> condition);
+
+    /** The sum of the weights that the client named. */
+    double totalWeight();
+
+    /** How many weights the client named: each adds a floating-point error to sums. */
+    int weightCount();
 }
--- a/src/main/java/postbeam/model/Query.java
+++ b/src/main/java/postbeam/model/Query.java
@@ -9,9 +9,6 @@
 
 /** A query that this router has accepted, with its shard requests and its progress. */
 public final class Query {
-    /** Tolerance for rounding of weights, in requests. */
-    private static final double NEEDED_TOLERANCE = 0.001;
-
     /** Its tenant; null if the deployment has no tenants. */
     public final Tenant tenant;
 
@@ -148,16 +145,29 @@
         overQuota = true;
     }
 
-    /** The weight of the answered requests, from 0 to 1. */
+    /** The weight of the answered requests, from 0 to {@link #totalWeight}. */
     public double answeredWeight() {
         return weightOf(ShardRequest::isAnswered);
     }
 
-    /** The weight of the requests that match, from 0 to 1. */
+    /** The weight of the requests that match, from 0 to {@link #totalWeight}. */
     public double weightOf(Predicate<ShardRequest> condition) {
-        if (completenessRule != null) {
-            return completenessRule.weight(this, condition);
-        }
+        return completenessRule == null
+                ? sumOfWeights(condition)
+                : completenessRule.weight(this, condition);
+    }
+
+    /**
+     * The weight of all requests of its current step. Clients may write weights with few digits, so
+     * that this is only about 1.
+     */
+    public double totalWeight() {
+        return completenessRule == null
+                ? sumOfWeights(request -> true)
+                : completenessRule.totalWeight();
+    }
+
+    private double sumOfWeights(Predicate<ShardRequest> condition) {
         double sum = 0;
         for (ShardRequest request : requests) {
             if (condition.test(request)) {
@@ -167,6 +177,36 @@
         return sum;
     }
 
+    /**
+     * Whether the requests that match make up this share of its weight. A share of 1 takes all
+     * requests, whatever they weigh; a lower one may be missed by floating-point error only.
+     */
+    public boolean isCoveredBy(Predicate<ShardRequest> condition, double share) {
+        return takesAllRequests(share)
+                ? requests.stream().allMatch(condition)
+                : missingWeight(condition, share) <= 0;
+    }
+
+    private boolean takesAllRequests(double share) {
+        return share >= 1 || totalWeight() <= 0;
+    }
+
+    /** The weight that the requests that match lack to this share, less floating-point error. */
+    private double missingWeight(Predicate<ShardRequest> condition, double share) {
+        double total = totalWeight();
+        int summands =
+                requests.size() + (completenessRule == null ? 0 : completenessRule.weightCount());
+        return share * total - weightOf(condition) - roundingError(summands, total);
+    }
+
+    /**
+     * Bound of the floating-point error of a comparison of two sums, one of them multiplied: half
+     * an ulp for each decimal weight, addition and product.
+     */
+    private static double roundingError(int summands, double total) {
+        return (summands + 1) * Math.ulp(1.0) * total;
+    }
+
     /** Number of requests of its current step that match. */
     public int countRequests(Predicate<ShardRequest> condition) {
         int count = 0;
@@ -178,21 +218,20 @@
 
     /**
      * Number of answers still needed (alpha in the SEDPT-R paper), assuming the mean weight of the
-     * unanswered requests.
+     * unanswered requests. It is 0 only if the required weight is answered.
      */
     public int requestsNeeded() {
-        int unanswered = 0;
-        double weight = 0;
-        for (ShardRequest request : requests) {
-            if (!request.isAnswered()) {
-                unanswered++;
-                weight += request.weight;
-            }
+        int unanswered = countRequests(request -> !request.isAnswered());
+        if (unanswered == 0 || takesAllRequests(queryClass.requiredWeight)) {
+            return unanswered;
+        }
+        double missing = missingWeight(ShardRequest::isAnswered, queryClass.requiredWeight);
+        if (missing <= 0) {
+            return 0;
         }
-        double needed = (queryClass.requiredWeight - answeredWeight()) * unanswered / weight;
-        return weight <= 0
-                ? unanswered
-                : (int) Math.min(unanswered, Math.ceil(needed - NEEDED_TOLERANCE));
+        double unansweredWeight = sumOfWeights(request -> !request.isAnswered());
+        double needed = Math.ceil(missing * unanswered / unansweredWeight);
+        return (int) Math.max(1, Math.min(unanswered, needed));
     }
 
     /** Number of unanswered requests with an attempt in flight. */
--- a/src/main/java/postbeam/policy/QueryCompletion.java
+++ b/src/main/java/postbeam/policy/QueryCompletion.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.function.Predicate;
 import postbeam.model.Query;
 import postbeam.model.QueryClass;
 import postbeam.model.ShardRequest;
@@ -15,9 +16,6 @@
 
 /** Holds the open queries and decides when each is answered, rejected or aborted. */
 final class QueryCompletion {
-    /** Tolerance for sums of weights, which add up to 1 except for rounding. */
-    private static final double ROUNDING = 0.00005;
-
     /** Fraction of the latency objective after which a query that has not started is rejected. */
     private static final double START_SHARE = 0.4;
 
@@ -81,49 +79,58 @@
     }
 
     private void review(Duration now, Query query) {
-        double answered = query.answeredWeight();
-        double possible =
-                query.weightOf(
-                        request ->
-                                request.isAnswered()
-                                        || !request.attemptsInFlight.isEmpty()
-                                        || retries.mayAttemptLater(now, request));
         // The requests of a second step arrive after the first step is answered.
         boolean requestsKnown = !query.shardRequests.isEmpty();
-        if (requestsKnown && reaches(answered, query.queryClass().requiredWeight)) {
+        if (requestsKnown && isAnswered(query, query.queryClass().requiredWeight)) {
             answerComplete(query);
         } else if (query.deadline.minus(now).compareTo(FINAL_ANSWER_MARGIN) <= 0
                 || query.isPoisoned()
-                || isPartialAnswerBest(now, query, answered)
-                || (requestsKnown && isOutOfReach(query.queryClass(), answered, possible))
+                || isPartialAnswerBest(now, query)
+                || (requestsKnown && isOutOfReach(now, query))
                 || isExpired(now, query)
                 || (query.hasNotStarted() && isStartOverdue(now, query))) {
             endUnfinished(query);
         }
     }
 
-    private static boolean reaches(double weight, double needed) {
-        return weight + ROUNDING >= needed;
+    /** Whether this share of the query is answered. */
+    private static boolean isAnswered(Query query, double share) {
+        return query.isCoveredBy(ShardRequest::isAnswered, share);
     }
 
     /** Whether a complete answer is impossible and waiting can't improve the answer. */
-    private static boolean isOutOfReach(QueryClass queryClass, double answered, double possible) {
-        return !reaches(possible, queryClass.requiredWeight)
-                && (reaches(answered, possible) || !reaches(possible, queryClass.minimumWeight));
+    private boolean isOutOfReach(Duration now, Query query) {
+        QueryClass queryClass = query.queryClass();
+        Predicate<ShardRequest> answerable = request -> isAnswerable(now, request);
+        if (query.isCoveredBy(answerable, queryClass.requiredWeight)) {
+            return false;
+        }
+        return query.weightOf(answerable) <= query.answeredWeight()
+                || !query.isCoveredBy(answerable, queryClass.minimumWeight);
+    }
+
+    private boolean isAnswerable(Duration now, ShardRequest request) {
+        return request.isAnswered()
+                || !request.attemptsInFlight.isEmpty()
+                || retries.mayAttemptLater(now, request);
     }
 
     /**
      * Whether the latency objective is about to pass and a partial answer now earns more than a
      * late complete one.
      */
-    private static boolean isPartialAnswerBest(Duration now, Query query, double answered) {
+    private static boolean isPartialAnswerBest(Duration now, Query query) {
         QueryClass queryClass = query.queryClass();
         return queryClass.secondStep == null
                 && queryClass.minimumWeight < queryClass.requiredWeight
-                && reaches(answered, queryClass.minimumWeight)
-                && queryClass.partialUtility * answered / queryClass.requiredWeight
-                        > queryClass.lateUtility
-                && now.plus(FINAL_ANSWER_MARGIN).compareTo(query.sloDeadline()) >= 0;
+                && now.plus(FINAL_ANSWER_MARGIN).compareTo(query.sloDeadline()) >= 0
+                && isAnswered(query, queryClass.minimumWeight)
+                && queryClass.partialUtility * answeredShare(query) / queryClass.requiredWeight
+                        > queryClass.lateUtility;
+    }
+
+    private static double answeredShare(Query query) {
+        return query.answeredWeight() / query.totalWeight();
     }
 
     /**
@@ -176,11 +183,10 @@
      */
     private void endUnfinished(Query query) {
         QueryClass queryClass = query.queryClass();
-        double answered = query.answeredWeight();
         boolean retryHarmless = isRetryHarmless(query);
         end(query);
-        if (answered > 0
-                && reaches(answered, queryClass.minimumWeight)
+        if (query.answeredWeight() > 0
+                && isAnswered(query, queryClass.minimumWeight)
                 && queryClass.secondStep == null) {
             actions.answer(query, false);
         } else if (retryHarmless) {
--- a/src/main/java/postbeam/slices/LayoutCompleteness.java
+++ b/src/main/java/postbeam/slices/LayoutCompleteness.java
@@ -44,6 +44,7 @@
     public final long requestedVersion;
 
     private final List<RequestedSlice> requested;
+    private final double requestedWeight;
     private final Supplier<Layout> currentLayout;
 
     /** Parts and requested slices are no longer one and the same. */
@@ -57,6 +58,7 @@
         this.requestedVersion = requestedVersion;
         this.requested =
                 requested.stream().sorted(Comparator.comparing(RequestedSlice::keys)).toList();
+        this.requestedWeight = requested.stream().mapToDouble(RequestedSlice::weight).sum();
         this.currentLayout = currentLayout;
         this.remapped = remapped;
     }
@@ -131,6 +133,16 @@
                 totalWeight(completeByLayout(query, counts)));
     }
 
+    @Override
+    public double totalWeight() {
+        return requestedWeight;
+    }
+
+    @Override
+    public int weightCount() {
+        return requested.size();
+    }
+
     /** Which of the answered parts go into an answer. */
     public CompleteParts completeParts(Query query) {
         Predicate<ShardRequest> answered = ShardRequest::isAnswered;
--- a/src/main/java/postbeam/testbed/simulation/DefectiveSlicing.java
+++ b/src/main/java/postbeam/testbed/simulation/DefectiveSlicing.java
@@ -70,5 +70,15 @@
                     .mapToDouble(request -> request.weight)
                     .sum();
         }
+
+        @Override
+        public double totalWeight() {
+            return pin.totalWeight();
+        }
+
+        @Override
+        public int weightCount() {
+            return pin.weightCount();
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/postbeam/model/QueryWeightsPropertyTest.java
@@ -0,0 +1,142 @@
+package postbeam.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.math.BigDecimal;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** What a share of a query takes, for any weights that a client may send. */
+class QueryWeightsPropertyTest {
+    private static final int CASES = 2000;
+    private static final int MANY_REQUESTS = 100_000;
+    private static final double LIGHTEST_EXPONENT = -15;
+
+    private final Random random = new Random(11);
+
+    private static Query query(double requiredWeight, double... weights) {
+        QueryClass queryClass =
+                QueryClass.builder(Duration.ofSeconds(1), SideEffects.IDEMPOTENT)
+                        .weights(requiredWeight, requiredWeight)
+                        .build();
+        Query query = new Query(queryClass, null, Duration.ZERO, Duration.ofSeconds(3));
+        for (int shard = 0; shard < weights.length; shard++) {
+            new ShardRequest(query, shard, weights[shard], null);
+        }
+        return query;
+    }
+
+    /** Weights from 1e-15 to 1 whose sum is off by up to what the codec accepts. */
+    private double[] weights(int count) {
+        double[] weights = new double[count];
+        for (int i = 0; i < count; i++) {
+            weights[i] = Math.pow(10, LIGHTEST_EXPONENT * random.nextDouble());
+        }
+        double wantedSum = 0.995 + 0.01 * random.nextDouble();
+        double sum = Arrays.stream(weights).sum();
+        return Arrays.stream(weights).map(weight -> weight * wantedSum / sum).toArray();
+    }
+
+    private void answerSome(Query query) {
+        double share = random.nextDouble();
+        query.shardRequests.stream()
+                .filter(request -> random.nextDouble() < share)
+                .forEach(ShardRequest::markAnswered);
+    }
+
+    private static boolean isComplete(Query query) {
+        return query.isCoveredBy(ShardRequest::isAnswered, query.queryClass().requiredWeight);
+    }
+
+    private static BigDecimal exactWeight(Query query, boolean all) {
+        return query.shardRequests.stream()
+                .filter(request -> all || request.isAnswered())
+                .map(request -> new BigDecimal(request.weight))
+                .reduce(BigDecimal.ZERO, BigDecimal::add);
+    }
+
+    @Test
+    void allRequestsAreNeededWhateverTheyWeigh() {
+        for (int i = 0; i < CASES; i++) {
+            Query query = query(1, weights(1 + random.nextInt(20)));
+            answerSome(query);
+            boolean all = query.shardRequests.stream().allMatch(ShardRequest::isAnswered);
+            assertEquals(all, isComplete(query));
+            assertEquals(all, query.requestsNeeded() == 0);
+        }
+    }
+
+    @Test
+    void oneOfManyRequestsIsMissed() {
+        Query query = query(1, weights(MANY_REQUESTS));
+        query.shardRequests.subList(1, MANY_REQUESTS).forEach(ShardRequest::markAnswered);
+        assertFalse(isComplete(query));
+        assertEquals(1, query.requestsNeeded());
+    }
+
+    @Test
+    void subsetIsCompleteOnceItsExactWeightIsReached() {
+        for (int i = 0; i < CASES; i++) {
+            double share = random.nextDouble();
+            int count = 1 + random.nextInt(20);
+            Query query = query(share, weights(count));
+            answerSome(query);
+            BigDecimal required = new BigDecimal(share).multiply(exactWeight(query, true));
+            BigDecimal missing = required.subtract(exactWeight(query, false));
+            // Twice the error that is allowed for: it is made before the allowance and after it.
+            double roundingError = 2 * (count + 2) * Math.ulp(1.0);
+            if (missing.signum() <= 0) {
+                assertTrue(isComplete(query), () -> "complete, lacks " + missing);
+            } else if (missing.doubleValue() > roundingError) {
+                assertFalse(isComplete(query), () -> "not complete, lacks " + missing);
+            }
+            assertEquals(isComplete(query), query.requestsNeeded() == 0);
+        }
+    }
+
+    @Test
+    void equalRequestsCountByTheirNumber() {
+        for (int count : new int[] {1, 2, 3, 7, 9, 12, 100, 1000, MANY_REQUESTS}) {
+            // As written with few digits, as many as the codec accepts.
+            double weight = Math.round(1e8 / count) / 1e8;
+            for (int needed = 1; needed <= count; needed += 1 + count / 50) {
+                Query query = query((double) needed / count, equalWeights(count, weight));
+                query.shardRequests.subList(0, needed - 1).forEach(ShardRequest::markAnswered);
+                assertEquals(1, query.requestsNeeded(), needed + " of " + count);
+                assertFalse(isComplete(query), needed + " of " + count);
+                query.shardRequests.get(needed - 1).markAnswered();
+                assertEquals(0, query.requestsNeeded(), needed + " of " + count);
+                assertTrue(isComplete(query), needed + " of " + count);
+            }
+        }
+    }
+
+    private static double[] equalWeights(int count, double weight) {
+        double[] weights = new double[count];
+        Arrays.fill(weights, weight);
+        return weights;
+    }
+
+    @Test
+    void nothingIsOutOfReachWhileAllMayCome() {
+        for (int i = 0; i < CASES; i++) {
+            double share = i % 10 == 0 ? 1 : random.nextDouble();
+            Query query = query(share, weights(1 + random.nextInt(200)));
+            assertTrue(query.isCoveredBy(request -> true, share));
+        }
+    }
+
+    @Test
+    void requestsWithoutWeightAreAllNeeded() {
+        Query query = query(0.5, 0, 0);
+        assertFalse(isComplete(query));
+        assertEquals(2, query.requestsNeeded());
+        query.shardRequests.forEach(ShardRequest::markAnswered);
+        assertTrue(isComplete(query));
+        assertEquals(0, query.requestsNeeded());
+    }
+}
--- a/src/test/java/postbeam/router/RouterIT.java
+++ b/src/test/java/postbeam/router/RouterIT.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -12,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -298,6 +300,34 @@
         assertEquals(1, node.sockets.size());
     }
 
+    /** Guards against a complete mark without a part that weighs less than a rounding. */
+    @Test
+    void anAnswerIsCompleteOnlyWithItsLightestPart() throws Exception {
+        node.mode = "silent";
+        serving();
+        try (Socket client = connect()) {
+            write(
+                    client,
+                    post(
+                            "/lookup?obj=7f",
+                            "Req-Id: q1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 20000\r\n",
+                            "{\"ranges\":[{\"range\":0,\"portion\":0.99999},"
+                                    + "{\"range\":1,\"portion\":0.00001}],"
+                                    + "\"predicate\":\"c41e77d0\"}"));
+            frame("m q1.0");
+            frame("m q1.1");
+            node.send(node.sockets.get(0), "qq1.0 good 0 -\nheavy");
+            client.setSoTimeout(300);
+            assertThrows(SocketTimeoutException.class, () -> answer(client));
+            client.setSoTimeout(LONG * 1000);
+            node.send(node.sockets.get(0), "qq1.1 good 0 -\nlight");
+            assertEquals(
+                    "200 {\"total\":true,\"answers\":[{\"range\":0,\"blob\":\"heavy\"},"
+                            + "{\"range\":1,\"blob\":\"light\"}]}",
+                    answer(client));
+        }
+    }
+
     @Test
     void anyPartsThatAreEnoughMakeTheAnswerAndTheRestAreCalledOff() throws Exception {
         node.mode = "silent";
