The listener closes only once no connection waits to be accepted

What callers saw: "Connection reset" (or, until the process ended, nothing) on a connection that the router's machine had accepted just before the router closed its listening socket.

Cause: the I/O library takes connections from the machine's backlog on a thread of its own and queues them for the I/O thread. acceptBacklogAndClose emptied that queue alone; what the accepting thread had not yet seen was reset with the socket.

Change: BacklogDrain.

Two messages seen in these trials: "a client can't be accepted: null" was the notification of a connection that had been taken already, harmless, and is logged no more; other errors are logged with their type. The RejectedExecutionException at a worker's end is of connections that wait for their peer's close after the answer: harmless.

--- a/src/main/java/postbeam/clients/ClientConnections.java
+++ b/src/main/java/postbeam/clients/ClientConnections.java
@@ -94,6 +94,11 @@
         return open.isEmpty();
     }
 
+    /** Whether further clients have to wait until a connection is closed. */
+    boolean isFull() {
+        return open.size() >= maxConnections;
+    }
+
     boolean hasRequestInProgress() {
         return open.stream().anyMatch(ClientConnection::isRequestInProgress);
     }
--- a/src/main/java/postbeam/clients/ClientListener.java
+++ b/src/main/java/postbeam/clients/ClientListener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -26,6 +27,9 @@
     private final ClientConnections connections;
     private AcceptingChannel<StreamConnection> server;
 
+    /** On the I/O thread alone. */
+    private long accepted;
+
     ClientListener(
             XnioWorker worker,
             InetSocketAddress listenAddress,
@@ -65,28 +69,42 @@
         try {
             StreamConnection socket = channel.accept();
             if (socket != null) {
+                accepted++;
                 connections.register(socket);
                 return true;
             }
+        } catch (ClosedChannelException e) {
+            // The notification of a connection that was accepted before the socket was closed.
+            return false;
         } catch (IOException e) {
-            LOG.log(
-                    System.Logger.Level.WARNING,
-                    "a client can''t be accepted: {0}",
-                    e.getMessage());
+            LOG.log(System.Logger.Level.WARNING, "a client can''t be accepted: {0}", e);
         }
         return false;
     }
 
+    /** How many connections were accepted; to be called on the I/O thread. */
+    long acceptedCount() {
+        return accepted;
+    }
+
     /**
-     * Accepts what waits in the backlog, then stops listening: closing the socket would reset
-     * connections that clients have already sent requests on. Bounded, as clients may connect
+     * Accepts the connections that XNIO has taken from the backlog. Bounded, as clients may connect
      * without end.
      */
-    void acceptBacklogAndClose() {
-        int accepted = 0;
-        while (server.isOpen() && accepted < BACKLOG && accept(server)) {
-            accepted++;
+    void acceptWaiting() {
+        int taken = 0;
+        while (taken < BACKLOG && accept(server)) {
+            taken++;
         }
+    }
+
+    boolean isOpen() {
+        return server.isOpen();
+    }
+
+    /** Stops listening; what still waits in the backlog is reset. */
+    void close() {
         IoUtils.safeClose(server);
+        acceptWaiting();
     }
 }
--- a/src/main/java/postbeam/clients/QueryServer.java
+++ b/src/main/java/postbeam/clients/QueryServer.java
@@ -43,6 +43,9 @@
     /** Buffers kept for the next request; one is held only while bytes of a request are in it. */
     private static final int POOLED_BUFFERS = 64;
 
+    /** A look at the connections that is later than this is late. */
+    private static final Duration MAX_LOOK_DELAY = Duration.ofMillis(50);
+
     /** How long a query's thread is kept for the next. */
     private static final Duration THREAD_KEEP_ALIVE = Duration.ofSeconds(30);
 
@@ -81,6 +84,10 @@
     private final ClientListener listener;
     private final RequestDispatcher dispatcher;
 
+    /** On the I/O thread alone. */
+    private final BacklogDrain backlog =
+            new BacklogDrain(ClientConnections.REAP_INTERVAL.plus(MAX_LOOK_DELAY));
+
     /** On the I/O thread alone: no connection is left that is between requests. */
     private boolean idleConnectionsClosed;
 
@@ -216,16 +223,24 @@
     }
 
     /**
-     * Takes no new connection, and closes those between requests; the others after their response.
+     * Stops listening once no connection waits to be accepted, and closes those between requests;
+     * the others after their response.
      */
     public void close() {
         lifecycle.beginClosing();
         ioThread.execute(this::closeIdleConnections);
     }
 
+    /**
+     * Looks every {@link ClientConnections#REAP_INTERVAL}, until the listening socket and the
+     * connections between requests are closed.
+     */
     private void closeIdleConnections() {
-        listener.acceptBacklogAndClose();
-        idleConnectionsClosed = connections.closeAllIdle();
+        if (listener.isOpen()) {
+            closeListenerIfQuiet();
+        }
+        boolean noneIdle = connections.closeAllIdle();
+        idleConnectionsClosed = noneIdle && !listener.isOpen();
         if (!idleConnectionsClosed) {
             // In two steps: where the thread is so late that the first is due at once, it has read
             // by the second.
@@ -239,6 +254,13 @@
         }
     }
 
+    private void closeListenerIfQuiet() {
+        listener.acceptWaiting();
+        if (backlog.isEmpty(System.nanoTime(), listener.acceptedCount(), connections.isFull())) {
+            listener.close();
+        }
+    }
+
     /** Ends the query threads; to be called once all is answered. */
     public void stop() {
         queryThreads.shutdown();
--- a/src/test/java/postbeam/clients/QueryServerTest.java
+++ b/src/test/java/postbeam/clients/QueryServerTest.java
@@ -24,6 +24,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.PendingQuery;
@@ -163,6 +164,70 @@
         }
     }
 
+    /** Guards against a reset of what the accepting thread takes over after the close. */
+    @Test
+    void connectionsThatAreTakenFromTheBacklogLateAreServedWhenTheServerCloses() throws Exception {
+        client.close();
+        CountDownLatch release = new CountDownLatch(1);
+        hold(acceptingThread(), release);
+        List<Socket> waiting = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            client =
+                    new Socket(
+                            InetAddress.getLoopbackAddress(),
+                            Integer.parseInt(server.address().replaceAll(".*:", "")));
+            waiting.add(client);
+            sendRequest();
+        }
+        server.close();
+        awaitIoThread();
+        Thread.sleep(30);
+        release.countDown();
+        for (Socket one : waiting) {
+            responses =
+                    new BufferedReader(
+                            new InputStreamReader(one.getInputStream(), StandardCharsets.US_ASCII));
+            List<String> answer = readResponse();
+            assertTrue(
+                    !answer.isEmpty() && answer.get(0).equals("HTTP/1.1 200 OK"),
+                    answer.toString());
+            assertTrue(answer.contains("Connection: close"), answer.toString());
+            assertEquals(-1, responses.read());
+            one.close();
+        }
+    }
+
+    /** The thread of the I/O library that takes connections from the backlog. */
+    private XnioIoThread acceptingThread() {
+        return Thread.getAllStackTraces().keySet().stream()
+                .filter(thread -> thread instanceof XnioIoThread)
+                .map(XnioIoThread.class::cast)
+                .filter(thread -> thread.getWorker() == worker && thread != worker.getIoThread())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static void hold(XnioIoThread thread, CountDownLatch release)
+            throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        thread.execute(
+                () -> {
+                    held.countDown();
+                    try {
+                        release.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+        held.await();
+    }
+
+    private void awaitIoThread() throws Exception {
+        FutureTask<Boolean> asked = new FutureTask<>(() -> true);
+        worker.getIoThread().execute(asked);
+        asked.get();
+    }
+
     @Test
     void serverIsDrainedOnceItsIdleConnectionsAreClosed() throws Exception {
         sendRequest();
