A connection that came up while the thread was late is used

What callers saw: under load, attempts that ended as unreachable and nodes ejected for it though they had accepted the connection; nodes saw connections that were closed unused, and one more opened in their place.

Cause: the timer of the connect timeout runs before the sockets that are ready are seen to. Where the I/O thread was late by more than the timeout, it gave up connections that were up.

Change: at the timeout the connection is looked at again 10 ms later, after a pass over the ready sockets, and given up only then.

Evidence: DataNodeClientTest holds the I/O thread for 400 ms after a connect with a timeout of 250 ms. Before, the health check failed ("the node was reached in time ==> expected: <true> but was: <false>"); now it is answered and the node has one connection.

--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -29,6 +29,9 @@
 final class NodeConnection implements FrameWriter.Listener {
     private static final System.Logger LOG = System.getLogger(NodeConnection.class.getName());
 
+    /** From the end of the connect timeout until the connection is given up. */
+    private static final Duration SECOND_LOOK_DELAY = Duration.ofMillis(10);
+
     private final ConnectionPool pool;
     private final AttemptListener listener;
     private final String address;
@@ -80,15 +83,28 @@
         IoFuture<StreamConnection> opening =
                 ioThread.openStreamConnection(
                         target, opened -> {}, null, OptionMap.create(Options.TCP_NODELAY, true));
+        connectTimer =
+                ioThread.executeAfter(
+                        () -> lookAgainAfterTimeout(ioThread, opening),
+                        connectTimeout.toMillis(),
+                        TimeUnit.MILLISECONDS);
+        opening.addNotifier((future, none) -> ioThread.execute(() -> opened(future)), null);
+    }
+
+    /**
+     * Gives up a connection that is not up at a second look. Where the thread is late, the first
+     * one comes before the sockets that are ready were seen to.
+     */
+    private void lookAgainAfterTimeout(
+            XnioIoThread ioThread, IoFuture<? extends StreamConnection> opening) {
         connectTimer =
                 ioThread.executeAfter(
                         () -> {
                             opening.cancel();
                             close("no connection in time");
                         },
-                        connectTimeout.toMillis(),
+                        SECOND_LOOK_DELAY.toMillis(),
                         TimeUnit.MILLISECONDS);
-        opening.addNotifier((future, none) -> ioThread.execute(() -> opened(future)), null);
     }
 
     private void opened(IoFuture<? extends StreamConnection> future) {
