--- a/src/main/java/postbeam/layoutservice/LayoutController.java
+++ b/src/main/java/postbeam/layoutservice/LayoutController.java
@@ -274,9 +274,12 @@
     private void append(JournalRecord record) throws IOException {
         try {
             journal.append(record);
-        } catch (IOException e) {
+        } catch (MoveJournal.LeadershipLostException e) {
             fail(e);
             throw e;
+        } catch (IOException e) {
+            fail(e);
+            throw new JournalWriteException(e);
         }
     }
 
@@ -375,7 +378,9 @@
      * @throws RequestRejectedException the request is unknown, or can't be served now
      * @throws OperatorErrorException a request about migrations can't be fulfilled
      * @throws IllegalArgumentException a request about layouts or moves can't be fulfilled
-     * @throws IOException the body can't be read, or the journal can't be written
+     * @throws JournalWriteException the journal can't be written
+     * @throws MoveJournal.LeadershipLostException another process writes to the journal
+     * @throws IOException the body can't be read
      */
     synchronized String handle(OperatorRequest request)
             throws RequestRejectedException, OperatorErrorException, IOException {
--- a/src/main/java/postbeam/layoutservice/LayoutHttpServer.java
+++ b/src/main/java/postbeam/layoutservice/LayoutHttpServer.java
@@ -127,6 +127,10 @@
             sendText(exchange, 409, e.getMessage());
         } catch (RequestRejectedException e) {
             sendText(exchange, e.status(), e.getMessage());
+        } catch (JournalWriteException e) {
+            sendText(exchange, 500, e.getMessage());
+        } catch (MoveJournal.LeadershipLostException e) {
+            sendText(exchange, 503, e.getMessage());
         } catch (IllegalArgumentException | IOException e) {
             sendText(exchange, 400, String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
