Layout service: watchers are answered when it fails, loses or stops

Cause: waiting requests are answered by the thread of the moves, which ended with the first failure; a request that came later was kept too.

Change: that thread goes on answering until the service stops. Under leases (migrations are on) all who wait are told at once that none is renewed; else the layout stays published and they get it when their wait is over. At a stop they are told 503.

Evidence, LayoutControllerTest on the service before: "expected: <layout> but was: <null>", "expected: <the service stops> but was: <null>", "expected: <this service grants no leases any more> but was: <null>"; all pass now.

--- a/src/main/java/postbeam/layoutservice/LayoutController.java
+++ b/src/main/java/postbeam/layoutservice/LayoutController.java
@@ -73,6 +73,9 @@
     private boolean wakeRequested;
     private volatile boolean stopped;
 
+    /** The service ends: nobody waits for it any more. */
+    private boolean closing;
+
     /** The listener gets each layout before it is published. */
     LayoutController(LayoutService.Config config, Consumer<Layout> listener) {
         this.config = config;
@@ -184,11 +187,12 @@
     }
 
     /** A node has taken a command of a later term. */
-    private void onSuperseded() {
+    private synchronized void onSuperseded() {
         LOG.log(
                 System.Logger.Level.ERROR,
                 new MigrationError.LeadershipLost(state.term(), "a node").message());
         stopped = true;
+        releaseWatchersOfLeases();
     }
 
     private void wake() {
@@ -199,41 +203,60 @@
     // ---- moves
 
     /**
-     * Advances the moves until the service stops, fails or is interrupted. The body of the thread
-     * "moves".
+     * Advances the moves until the service stops, or fails; answers waiting requests whose time is
+     * up until it stops. The body of the thread "moves".
      */
     void runMoves() {
-        while (!stopped) {
-            try {
-                advanceMoves();
-            } catch (InterruptedException e) {
-                return;
-            } catch (IOException | RuntimeException e) {
-                fail(e);
-                return;
+        try {
+            while (!isClosing()) {
+                if (!stopped) {
+                    advanceMovesOrFail();
+                }
+                answerExpiredWatchersAndWait();
             }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized boolean isClosing() {
+        return closing;
+    }
+
+    private void advanceMovesOrFail() {
+        try {
+            advanceMoves();
+        } catch (IOException | RuntimeException e) {
+            fail(e);
+        }
+    }
+
+    private synchronized void advanceMoves() throws IOException {
+        if (journal == null || stopped) {
+            return;
+        }
+        if (migrations != null) {
+            journal.requireLeadership();
+            execute(migrations.manager().tick(ServiceClock.now()));
         }
+        executeMoves(coordinator.tick(ServiceClock.now()));
+        journal.compact(state);
     }
 
     @SuppressWarnings(
             "WaitNotInLoop") // A spurious wake-up looks at the moves early, which is harmless.
-    private synchronized void advanceMoves() throws IOException, InterruptedException {
-        if (journal != null) {
-            if (migrations != null) {
-                journal.requireLeadership();
-                execute(migrations.manager().tick(ServiceClock.now()));
-            }
-            executeMoves(coordinator.tick(ServiceClock.now()));
-            journal.compact(state);
-        }
+    private synchronized void answerExpiredWatchersAndWait() throws InterruptedException {
         watchers.removeExpired(System.nanoTime()).forEach(this::sendLayout);
-        if (!wakeRequested) {
+        if (!wakeRequested && !closing) {
             wait(TICK_INTERVAL.toMillis());
         }
         wakeRequested = false;
     }
 
     private synchronized void fail(Exception e) {
+        if (stopped) {
+            return;
+        }
         stopped = true;
         if (e instanceof MoveJournal.LeadershipLostException) {
             LOG.log(System.Logger.Level.ERROR, e.getMessage());
@@ -243,6 +266,17 @@
                     "moves stop here: the log can't be trusted any more; restart",
                     e);
         }
+        releaseWatchersOfLeases();
+    }
+
+    /**
+     * Routers under a lease are told at once that it is renewed no more. Without leases the layout
+     * stays published, and waiting requests are answered with it in their time.
+     */
+    private void releaseWatchersOfLeases() {
+        if (migrations != null) {
+            watchers.removeAll().forEach(this::sendLayout);
+        }
     }
 
     private void execute(List<MigrationAction> actions) throws IOException {
@@ -299,6 +333,10 @@
      *     #awaitNewerLayout}
      */
     synchronized boolean answerLayoutRequest(LayoutRequest request) {
+        if (closing) {
+            request.responder().sendUnavailable("the service stops");
+            return true;
+        }
         if (published == null) {
             request.responder().sendUnavailable("there is no layout yet");
             return true;
@@ -324,7 +362,9 @@
      * Keeps the request until a newer layout is published or its wait is over, and answers it then.
      */
     synchronized void awaitNewerLayout(LayoutRequest request) {
-        if (published.version > request.knownVersion()) {
+        if (closing) {
+            request.responder().sendUnavailable("the service stops");
+        } else if (published.version > request.knownVersion() || (migrations != null && stopped)) {
             sendLayout(request);
         } else {
             watchers.add(
@@ -349,7 +389,7 @@
     private void sendLayout(LayoutRequest request) {
         if (migrations != null && !isLeader()) {
             // A layout given out now would be a lease that the successor knows nothing of.
-            request.responder().sendUnavailable("another service has taken over");
+            request.responder().sendUnavailable("this service grants no leases any more");
             return;
         }
         if (migrations != null && request.router().isPresent()) {
@@ -384,12 +424,12 @@
      */
     synchronized String handle(OperatorRequest request)
             throws RequestRejectedException, OperatorErrorException, IOException {
-        if (journal == null || stopped) {
+        if (stopped) {
             throw new RequestRejectedException(
-                    503,
-                    journal == null
-                            ? "there is no layout yet"
-                            : "the log failed: restart the service");
+                    503, closing ? "the service stops" : "the log failed: restart the service");
+        }
+        if (journal == null) {
+            throw new RequestRejectedException(503, "there is no layout yet");
         }
         OperatorResponse response = respond(request);
         execute(response.actions());
@@ -423,9 +463,16 @@
 
     // ---- shutdown
 
-    /** No move is decided any more. */
-    void stop() {
+    /**
+     * No move is decided and no request accepted any more; waits for a record that is being
+     * written.
+     */
+    synchronized void stop() {
         stopped = true;
+        closing = true;
+        watchers.removeAll()
+                .forEach(request -> request.responder().sendUnavailable("the service stops"));
+        wake();
     }
 
     /** Gives back the threads and connections to data nodes. */
--- a/src/test/java/postbeam/layoutservice/LayoutControllerTest.java
+++ b/src/test/java/postbeam/layoutservice/LayoutControllerTest.java
@@ -11,6 +11,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -67,6 +71,23 @@
                 Map.of(node, "127.0.0.1:1"));
     }
 
+    private static MigrationLimits migrationLimits() {
+        return new MigrationLimits(
+                1,
+                1,
+                1000,
+                1L << 40,
+                NEVER,
+                Duration.ZERO,
+                NEVER,
+                0.5,
+                Duration.ofSeconds(1),
+                3,
+                1,
+                NEVER,
+                Duration.ofSeconds(1));
+    }
+
     @AfterEach
     void stop() throws IOException {
         controller.stop();
@@ -92,6 +113,41 @@
         }
     }
 
+    /** A request that waits for a newer layout, and what it is answered. */
+    private BlockingQueue<String> watch(Duration wait) {
+        BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        LayoutRequest request =
+                new LayoutRequest(
+                        1,
+                        wait.toMillis(),
+                        Optional.of("r1"),
+                        1,
+                        new LayoutRequest.Responder() {
+                            @Override
+                            public void sendLayout(byte[] json) {
+                                answers.add("layout");
+                            }
+
+                            @Override
+                            public void sendUnavailable(String reason) {
+                                answers.add(reason);
+                            }
+
+                            @Override
+                            public void sendOverloaded(String reason) {
+                                answers.add(reason);
+                            }
+                        });
+        if (!controller.answerLayoutRequest(request)) {
+            controller.awaitNewerLayout(request);
+        }
+        return answers;
+    }
+
+    private static String next(BlockingQueue<String> answers) throws InterruptedException {
+        return answers.poll(5, TimeUnit.SECONDS);
+    }
+
     /** Guards against a failed write that an operator takes for a mistake of his own. */
     @Test
     void failedWriteIsAnErrorOfTheServiceAndLeavesAJournalThatReadsBack() throws Exception {
@@ -104,4 +160,34 @@
         MoveJournal.open(dir.resolve("moves.log"), state, null).close();
         assertTrue(state.activeMoves().size() <= 1);
     }
+
+    /** Guards against watchers that wait for ever once the journal has failed. */
+    @Test
+    void watcherIsAnsweredInItsTimeThoughTheJournalHasFailed() throws Exception {
+        start(null);
+        BlockingQueue<String> before = watch(Duration.ofMillis(200));
+        failWrite(IOException.class);
+        assertEquals("layout", next(before));
+        assertEquals("layout", next(watch(Duration.ofMillis(200))));
+    }
+
+    /** Guards against routers that wait for the renewal of a lease that can't come. */
+    @Test
+    void watcherUnderALeaseIsToldAtOnceThatTheServiceHasFailed() throws Exception {
+        start(migrationLimits());
+        BlockingQueue<String> before = watch(NEVER);
+        failWrite(IOException.class);
+        assertEquals("this service grants no leases any more", next(before));
+        assertEquals("this service grants no leases any more", next(watch(NEVER)));
+    }
+
+    @Test
+    void watcherIsToldThatTheServiceStops() throws Exception {
+        start(null);
+        BlockingQueue<String> before = watch(NEVER);
+        controller.stop();
+        assertEquals("the service stops", next(before));
+        assertEquals("the service stops", next(watch(NEVER)));
+        moves.join();
+    }
 }
