--- a/src/main/java/postbeam/layoutservice/LayoutController.java
+++ b/src/main/java/postbeam/layoutservice/LayoutController.java
@@ -156,11 +156,14 @@
 
     /** Takes an update of the data-node list. */
     synchronized void onEndpointUpdate(EndpointUpdate update) {
+        if (stopped) {
+            return;
+        }
         List<String> restarted = endpoints.apply(update);
         Map<String, TargetLayout.NodeInfo> nodes = endpoints.nodeInfos();
         handoffClient.updateAddresses(endpoints.addresses());
         coordinator.onNodesListed(nodes, restarted);
-        if (migrations != null && !restarted.isEmpty() && !stopped) {
+        if (migrations != null && !restarted.isEmpty()) {
             try {
                 execute(migrations.manager().onNodesStarted(restarted, ServiceClock.now()));
             } catch (IOException e) {
--- a/src/test/java/postbeam/layoutservice/LayoutControllerTest.java
+++ b/src/test/java/postbeam/layoutservice/LayoutControllerTest.java
@@ -190,4 +190,14 @@
         assertEquals("the service stops", next(watch(NEVER)));
         moves.join();
     }
+
+    /** Guards against a journal that a late list of nodes opens again. */
+    @Test
+    void stoppedServiceTakesNoList() throws Exception {
+        start(null);
+        controller.stop();
+        controller.closeJournal();
+        controller.onEndpointUpdate(listed("n2"));
+        MoveJournal.open(dir.resolve("moves.log"), new MoveJournalState(4), null).close();
+    }
 }
