Layout service: a clean stop lets a record be written to its end

Cause: LayoutService.close interrupted the thread of the moves, and the HTTP server's end interrupts the threads of operators' requests; an interrupt in a write or a sync closes the file.

--- a/src/main/java/postbeam/layoutservice/LayoutService.java
+++ b/src/main/java/postbeam/layoutservice/LayoutService.java
@@ -115,9 +115,19 @@
     public void close() throws IOException {
         controller.stop();
         endpointWatcher.stop();
-        movesThread.interrupt();
+        awaitMoves();
         controller.closeConnections();
-        httpServer.close();
+        // Before the HTTP threads are interrupted: one that writes to the journal then would close
+        // it within a record.
         controller.closeJournal();
+        httpServer.close();
+    }
+
+    private void awaitMoves() {
+        try {
+            movesThread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
