Peers' messages: a stripe is checked before it is narrowed

A peer's message with the stripe counted for stripe 1: the number was cast to an int, and only the result held against the stripes that there are. It is rejected as malformed now, negative ones too.

PeerMessageCodecTest.stripesBeyondTheRangeOfNumbersAreRejected; before: "Expected java.io.IOException to be thrown, but nothing was thrown".

--- a/src/main/java/postbeam/peers/PeerMessageCodec.java
+++ b/src/main/java/postbeam/peers/PeerMessageCodec.java
@@ -96,14 +96,14 @@
         ProcessIdentity sender = readSender(message);
         List<VoteRequest> voteRequests = new ArrayList<>();
         for (List<?> vote : readTuples(message, VOTE_REQUESTS, VOTE_REQUEST_SIZE)) {
-            int stripe = (int) readLong(vote.get(0));
+            int stripe = readStripe(vote.get(0));
             long term = readLong(vote.get(1));
             voteRequests.add(new VoteRequest(stripe, term, readLong(vote.get(2)), sender));
         }
         Map<Integer, List<LeaseRequest>> leaseRequests = new LinkedHashMap<>();
         for (List<?> lease : readTuples(message, LEASE_REQUESTS, LEASE_REQUEST_SIZE)) {
             leaseRequests
-                    .computeIfAbsent((int) readLong(lease.get(0)), stripe -> new ArrayList<>())
+                    .computeIfAbsent(readStripe(lease.get(0)), stripe -> new ArrayList<>())
                     .add(
                             new LeaseRequest(
                                     readNode(lease),
@@ -160,7 +160,7 @@
         for (List<?> vote : readTuples(message, VOTES, VOTE_SIZE)) {
             votes.add(
                     new VoteResponse(
-                            (int) readLong(vote.get(0)),
+                            readStripe(vote.get(0)),
                             readLong(vote.get(1)),
                             readLong(vote.get(2)),
                             sender.name(),
@@ -169,7 +169,7 @@
         }
         Map<Integer, List<LeaseGrant>> grants = new LinkedHashMap<>();
         for (List<?> grant : readTuples(message, GRANTS, GRANT_SIZE)) {
-            grants.computeIfAbsent((int) readLong(grant.get(0)), stripe -> new ArrayList<>())
+            grants.computeIfAbsent(readStripe(grant.get(0)), stripe -> new ArrayList<>())
                     .add(
                             new LeaseGrant(
                                     readNode(grant),
@@ -222,6 +222,15 @@
         throw new IOException("a whole number is missing");
     }
 
+    /** The range of stripes that there are is checked where they are looked up. */
+    private static int readStripe(Object value) throws IOException {
+        long stripe = readLong(value);
+        if (stripe < 0 || stripe > Integer.MAX_VALUE) {
+            throw new IOException("a stripe is out of range: " + stripe);
+        }
+        return (int) stripe;
+    }
+
     static double readDouble(Object value) throws IOException {
         if (value instanceof Number number
                 && number.doubleValue() >= 0
--- a/src/test/java/postbeam/peers/PeerMessageCodecTest.java
+++ b/src/test/java/postbeam/peers/PeerMessageCodecTest.java
@@ -72,6 +72,23 @@
         }
     }
 
+    /** Guards against a stripe that is cut to the bits of another one. */
+    @Test
+    void stripesBeyondTheRangeOfNumbersAreRejected() {
+        for (String stripe : List.of("4294967297", "-4294967295", "-1")) {
+            String vote =
+                    "{\"digest\":\"d\",\"from\":\"a\",\"run\":1,\"ballots\":[[S,2,3]],\"leases\":[]}";
+            String lease =
+                    "{\"digest\":\"d\",\"from\":\"a\",\"run\":1,\"ballots\":[],"
+                            + "\"leases\":[[S,\"n\",1,1,0.5,1]]}";
+            for (String message : List.of(vote, lease)) {
+                byte[] bytes = message.replace("S", stripe).getBytes(StandardCharsets.UTF_8);
+                assertThrows(
+                        IOException.class, () -> PeerMessageCodec.decodeRequest(bytes), message);
+            }
+        }
+    }
+
     @Test
     void deployedSectionIsReadAndInvalidOnesAreNamed() throws IOException, OperatorErrorException {
         String text = Files.readString(Path.of("deploy/postbeam.json5"));
