Layout service: numbers in commands and records are checked, not cut

Cause: JsonFields cast numbers to int and long without looking. Change: a number that is no whole one or does not fit is an error that names its member. Stored records hold whole numbers only and read as before (StoredMoveRecordsTest). Evidence: JsonFieldsTest.numbersThatDoNotFitAreNamed; before: "Expected java.io.IOException to be thrown, but nothing was thrown".

--- a/src/main/java/postbeam/layoutservice/JsonFields.java
+++ b/src/main/java/postbeam/layoutservice/JsonFields.java
@@ -32,11 +32,22 @@
     }
 
     static long number(Map<?, ?> object, String name) throws IOException {
-        return Json.member(object, name, Number.class).longValue();
+        return wholeNumber(name, Json.member(object, name, Number.class));
+    }
+
+    private static long wholeNumber(String name, Number number) throws IOException {
+        if (number instanceof Integer || number instanceof Long) {
+            return number.longValue();
+        }
+        throw new IOException(name + " is not a whole number in range: " + number);
     }
 
     static int integer(Map<?, ?> object, String name) throws IOException {
-        return (int) number(object, name);
+        long number = number(object, name);
+        if (number != (int) number) {
+            throw new IOException(name + " is out of range: " + number);
+        }
+        return (int) number;
     }
 
     static double decimal(Map<?, ?> object, String name) throws IOException {
@@ -61,7 +72,11 @@
 
     /** Keys of the key space: numbers of any size. */
     static List<Long> keys(Map<?, ?> object, String name) throws IOException {
-        return list(object, name, Number.class, "keys").stream().map(Number::longValue).toList();
+        List<Long> keys = new ArrayList<>();
+        for (Number key : list(object, name, Number.class, "keys")) {
+            keys.add(wholeNumber(name, key));
+        }
+        return keys;
     }
 
     static List<Map<?, ?>> objects(Map<?, ?> object, String name) throws IOException {
