Slices: a destination that is silent in a rollback drops its copy later

What operators saw: a node that did not answer while a move onto it was rolled back kept the copy for good; nothing told it to drop it once it was back.

Cause: a rollback that is late ends without the acknowledgement, and only a completed move kept who has still to drop.

Change: a rollback keeps a PendingDrop for each destination that has not acknowledged, as completion does for old holders; records have the form they had.

--- a/src/main/java/postbeam/slices/MoveStateMachine.java
+++ b/src/main/java/postbeam/slices/MoveStateMachine.java
@@ -146,19 +146,22 @@
                         || isLate(actions, move))) {
             // A holder that does not answer drops when it is back; until then its fence keeps it
             // harmless.
-            move.oldHolders.stream()
-                    .filter(
-                            holder ->
-                                    !commands.isAcknowledged(
-                                            move,
-                                            HandoffCommand.DROP,
-                                            holder.node(),
-                                            holder.slice()))
-                    .forEach(holder -> actions.append(new JournalRecord.PendingDrop(holder, true)));
+            appendPendingDrops(actions, move, move.oldHolders);
             complete(actions, move);
         }
     }
 
+    /** Keeps who has not acknowledged yet that it dropped what it has of the slice. */
+    private void appendPendingDrops(
+            ActionList actions, Move move, List<Move.OldHolder> droppingHolders) {
+        for (Move.OldHolder holder : droppingHolders) {
+            if (!commands.isAcknowledged(
+                    move, HandoffCommand.DROP, holder.node(), holder.slice())) {
+                actions.append(new JournalRecord.PendingDrop(holder, true));
+            }
+        }
+    }
+
     private void complete(ActionList actions, Move move) {
         enter(actions, move, MoveState.COMPLETED);
         if (move.reverseWhenDone()) {
@@ -181,6 +184,18 @@
                 !move.mayBeFenced()
                         || commands.sendToOldHolders(actions, move, HandoffCommand.SERVE);
         if (served && dropped) {
+            // A destination that does not answer drops its copy when it is back.
+            appendPendingDrops(
+                    actions,
+                    move,
+                    move.destinations.stream()
+                            .map(
+                                    destination ->
+                                            new Move.OldHolder(
+                                                    destination.node(),
+                                                    destination.slice(),
+                                                    destination.keys()))
+                            .toList());
             actions.append(
                     new JournalRecord.RolledBack(move.id, state.nextVersion(), actions.now()));
             actions.publishLayout();
--- a/src/test/java/postbeam/slices/NodeReconciliationTest.java
+++ b/src/test/java/postbeam/slices/NodeReconciliationTest.java
@@ -73,4 +73,22 @@
         runFor(Duration.ofSeconds(20));
         assertEquals(List.of("a", "b"), layout().slice(0).nodes());
     }
+
+    /** Guards against a copy that stays on its node for ever after a rollback. */
+    @Test
+    void destinationThatIsSilentWhileItsMoveIsRolledBackDropsLater() {
+        long move = plan(new LayoutChange.Transfer(0, "a", "c"));
+        advanceTo(move, MoveState.COPYING);
+        silentNodes.add("c");
+        runFor(Duration.ofSeconds(20));
+        assertEquals(MoveState.ABANDONED, finishedMove(move).state());
+        assertEquals(
+                List.of("c"),
+                coordinator.state().pendingDrops().stream().map(Move.OldHolder::node).toList());
+        restart();
+        silentNodes.clear();
+        runFor(Duration.ofSeconds(3));
+        assertEquals(0, coordinator.state().pendingDrops().size());
+        assertEquals(List.of("a", "b"), layout().slice(0).nodes());
+    }
 }
