Slices: a late acknowledgement does not count for the next drop

What operators could see: a node that never dropped a slice that was taken off it for the second time.

Cause: a drop that was cancelled while its command was in flight, because the node got the slice again, kept its delivery; the acknowledgement that came then marked it done, and the next drop of the slice was never sent.

Change: deliveries of drops that are no longer asked for are forgotten.

Evidence: NodeReconciliationTest.lateAcknowledgementDoesNotCountForTheNextDrop; before: "it has dropped nothing yet ==> expected: <1> but was: <0>". Left open: an acknowledgement that comes only after the next drop was sent.

--- a/src/main/java/postbeam/slices/CommandDeliveries.java
+++ b/src/main/java/postbeam/slices/CommandDeliveries.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BiPredicate;
 
 /**
  * The commands of one move, or of one node's reminder: when each was sent last, and whether it was
@@ -64,6 +65,11 @@
         deliveries.remove(new Key(node, command, slice));
     }
 
+    /** Forgets the commands for all nodes and slices but those that match. */
+    void retain(BiPredicate<String, Integer> wanted) {
+        deliveries.keySet().removeIf(key -> !wanted.test(key.node(), key.slice()));
+    }
+
     /** Forgets what was sent to a node, which may have lost it. */
     void forgetNode(String node) {
         deliveries.keySet().removeIf(key -> key.node().equals(node));
--- a/src/main/java/postbeam/slices/NodeReconciliation.java
+++ b/src/main/java/postbeam/slices/NodeReconciliation.java
@@ -58,6 +58,7 @@
      * while a slice was taken off it would serve old data to a router that is as far behind.
      */
     void sendPendingDrops(ActionList actions) {
+        forgetCancelledDrops();
         for (Move.OldHolder holder : List.copyOf(state.pendingDrops())) {
             CoordinatorAction.SendCommand drop =
                     new CoordinatorAction.SendCommand(
@@ -75,6 +76,17 @@
         }
     }
 
+    /** A drop that is asked for again later must not count as done by a late acknowledgement. */
+    private void forgetCancelledDrops() {
+        drops.retain(
+                (node, slice) ->
+                        state.pendingDrops().stream()
+                                .anyMatch(
+                                        holder ->
+                                                holder.slice() == slice
+                                                        && holder.node().equals(node)));
+    }
+
     /**
      * Has nodes that came back serve each slice that the layout gives them and that no move is
      * about.
--- a/src/test/java/postbeam/slices/NodeReconciliationTest.java
+++ b/src/test/java/postbeam/slices/NodeReconciliationTest.java
@@ -91,4 +91,28 @@
         assertEquals(0, coordinator.state().pendingDrops().size());
         assertEquals(List.of("a", "b"), layout().slice(0).nodes());
     }
+
+    /** Takes slice 0 off a node that takes no command any more once the move is cut over. */
+    private void transferOffNodeThatFallsSilent(String from, String to) {
+        long move = plan(new LayoutChange.Transfer(0, from, to));
+        assertEquals(MoveState.CUT_OVER, advanceTo(move, MoveState.CUT_OVER));
+        sentCommands.clear();
+        silentNodes.add(from);
+        runFor(Duration.ofSeconds(8));
+    }
+
+    /** Guards against a drop that is taken for done by the acknowledgement of an earlier one. */
+    @Test
+    void lateAcknowledgementDoesNotCountForTheNextDrop() {
+        transferOffNodeThatFallsSilent("a", "c");
+        assertEquals(1, coordinator.state().pendingDrops().size());
+        plan(new LayoutChange.Transfer(0, "c", "a"));
+        assertEquals(0, coordinator.state().pendingDrops().size());
+        coordinator.acknowledged(NodeReconciliation.NO_MOVE, "a", HandoffCommand.DROP, 0);
+        silentNodes.clear();
+        runFor(Duration.ofSeconds(20));
+        assertEquals(List.of("a", "b"), layout().slice(0).nodes());
+        transferOffNodeThatFallsSilent("a", "c");
+        assertEquals(1, coordinator.state().pendingDrops().size(), "it has dropped nothing yet");
+    }
 }
