A router that can't hear SIGHUP says so at its start

Cause: a virtual machine that is started with SIGHUP ignored leaves it ignored and says nothing; only the handler that was replaced tells.

That it hears the signal all the same would take native code or another program before it.

Evidence: IgnoredHangupIT starts the program with SIGHUP ignored and at its default: the warning comes with the first alone. Before there was none.

--- a/src/main/java/postbeam/cli/ConfigurationReloader.java
+++ b/src/main/java/postbeam/cli/ConfigurationReloader.java
@@ -24,7 +24,12 @@
     /** Handles SIGHUP from now on. */
     static ConfigurationReloader install(String configFile) {
         ConfigurationReloader reloader = new ConfigurationReloader(configFile);
-        HangupSignal.handle(reloader::reload);
+        if (!HangupSignal.handle(reloader::reload)) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "SIGHUP is ignored, as by the process that started this one (nohup?): a new "
+                            + "configuration takes a restart");
+        }
         return reloader;
     }
 
--- /dev/null
+++ b/src/test/java/postbeam/cli/IgnoredHangupIT.java
@@ -0,0 +1,62 @@
+package postbeam.cli;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The built program, started as by a process that ignores SIGHUP or not. */
+@Timeout(60)
+class IgnoredHangupIT {
+    private static final String WARNING = "SIGHUP is ignored";
+
+    @TempDir private Path dir;
+
+    /** What the program says until it serves. */
+    private String start(String signalOption) throws Exception {
+        String config =
+                Files.readString(Path.of("deploy/example.json"))
+                        .replace("127.0.0.1:7070", "127.0.0.1:0");
+        Process program =
+                new ProcessBuilder(
+                                "env",
+                                signalOption,
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-jar",
+                                "target/postbeam.jar",
+                                "serve",
+                                "--config",
+                                Files.writeString(dir.resolve("config.json"), config).toString())
+                        .redirectErrorStream(true)
+                        .start();
+        try (BufferedReader out = program.inputReader()) {
+            StringBuilder said = new StringBuilder();
+            String line;
+            while ((line = out.readLine()) != null && !line.contains(" serves at ")) {
+                said.append(line).append('\n');
+            }
+            return said.append(line).toString();
+        } finally {
+            program.destroyForcibly().waitFor();
+        }
+    }
+
+    /** Guards against a router that no reload reaches and that says nothing of it. */
+    @Test
+    void routerThatCanNotHearSighupSaysSo() throws Exception {
+        String said = start("--ignore-signal=HUP");
+        assertTrue(said.contains(WARNING), said);
+    }
+
+    @Test
+    void routerThatHearsSighupWarnsOfNothing() throws Exception {
+        String said = start("--default-signal=HUP");
+        assertFalse(said.contains(WARNING), said);
+        assertTrue(said.contains(" serves at "), said);
+    }
+}
