--- a/src/test/java/postbeam/slices/MoveFailureTest.java
+++ b/src/test/java/postbeam/slices/MoveFailureTest.java
@@ -59,6 +59,19 @@
         assertEquals(List.of("a", "b"), layout().slice(0).nodes());
     }
 
+    /** Guards against a cut-over while a holder that only drained is cut off and unfenced. */
+    @Test
+    void aDrainingHolderThatGoesBeforeItWasFencedEndsTheMove() {
+        setReadiness("a", Readiness.DRAINING);
+        long move = plan(new LayoutChange.Transfer(0, "a", "c"));
+        silentNodes.add("a");
+        advanceTo(move, MoveState.FENCED);
+        setReadiness("a", Readiness.REMOVED);
+        runFor(Duration.ofSeconds(20));
+        assertEquals(MoveState.ABANDONED, finishedMove(move).state());
+        assertEquals(List.of("a", "b"), layout().slice(0).nodes());
+    }
+
     @Test
     void aMoveCanBeAbandonedInEachState() {
         for (MoveState state :
