Layout service: the published layout has a class of its own

LayoutPublisher takes the layout in force, its watchers and the leases that answers renew out of LayoutController (492 to 401 lines).

--- a/src/main/java/postbeam/layoutservice/LayoutController.java
+++ b/src/main/java/postbeam/layoutservice/LayoutController.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import postbeam.endpoints.EndpointUpdate;
 import postbeam.errors.OperatorErrorException;
@@ -43,21 +42,12 @@
     /** Between two looks at the moves while nothing happens. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
-    private static final long MAX_WAIT_MILLIS = 60_000;
-
-    /**
-     * A router's request is answered at least so many times per lease, so that the lease is renewed
-     * in time.
-     */
-    private static final int ANSWERS_PER_LEASE = 3;
-
     private final LayoutService.Config config;
-    private final Consumer<Layout> listener;
     private final MoveJournalState state;
     private final Coordinator coordinator;
     private final HandoffClient handoffClient;
     private final EndpointDirectory endpoints = new EndpointDirectory();
-    private final LayoutWatchers watchers = new LayoutWatchers();
+    private final LayoutPublisher publisher;
     private final LayoutRequestHandler layoutRequests;
 
     /** Null until the journal is open. */
@@ -66,10 +56,6 @@
     /** Null until the journal is open, and where migrations are switched off. */
     private MigrationHandler migrations;
 
-    /** Null until the journal is open. */
-    private Layout published;
-
-    private byte[] publishedJson;
     private boolean wakeRequested;
     private volatile boolean stopped;
 
@@ -79,10 +65,11 @@
     /** The listener gets each layout before it is published. */
     LayoutController(LayoutService.Config config, Consumer<Layout> listener) {
         this.config = config;
-        this.listener = listener;
         this.state = new MoveJournalState(config.history());
         this.coordinator = new Coordinator(state, config.limits());
         this.handoffClient = new HandoffClient(this::onCommandDone);
+        LayoutWatchers watchers = new LayoutWatchers();
+        this.publisher = new LayoutPublisher(listener, watchers);
         this.layoutRequests =
                 new LayoutRequestHandler(
                         coordinator, endpoints, watchers, config.limits().minHolders());
@@ -115,6 +102,11 @@
                             config.migrationLimits(),
                             ServiceClock.now());
             migrations = new MigrationHandler(manager, coordinator);
+            publisher.useLeases(
+                    new LayoutPublisher.Leases(
+                            manager.routerAcknowledgements(),
+                            config.migrationLimits().routerLease(),
+                            this::isLeader));
         }
         if (journal.tornBytes() > 0) {
             LOG.log(
@@ -131,7 +123,7 @@
                 state.layout().version,
                 state.layout().slices().size(),
                 state.activeMoves().size());
-        publish(state.layout());
+        publisher.publish(state.layout());
     }
 
     /** Begins the journal of a new installation: slices of even size over the listed nodes. */
@@ -195,7 +187,7 @@
                 System.Logger.Level.ERROR,
                 new MigrationError.LeadershipLost(state.term(), "a node").message());
         stopped = true;
-        releaseWatchersOfLeases();
+        publisher.onLeadershipEnded();
     }
 
     private void wake() {
@@ -249,7 +241,7 @@
     @SuppressWarnings(
             "WaitNotInLoop") // A spurious wake-up looks at the moves early, which is harmless.
     private synchronized void answerExpiredWatchersAndWait() throws InterruptedException {
-        watchers.removeExpired(System.nanoTime()).forEach(this::sendLayout);
+        publisher.answerExpired();
         if (!wakeRequested && !closing) {
             wait(TICK_INTERVAL.toMillis());
         }
@@ -269,17 +261,7 @@
                     "moves stop here: the log can't be trusted any more; restart",
                     e);
         }
-        releaseWatchersOfLeases();
-    }
-
-    /**
-     * Routers under a lease are told at once that it is renewed no more. Without leases the layout
-     * stays published, and waiting requests are answered with it in their time.
-     */
-    private void releaseWatchersOfLeases() {
-        if (migrations != null) {
-            watchers.removeAll().forEach(this::sendLayout);
-        }
+        publisher.onLeadershipEnded();
     }
 
     private void execute(List<MigrationAction> actions) throws IOException {
@@ -304,7 +286,7 @@
         } else if (action instanceof CoordinatorAction.SendCommand send) {
             handoffClient.send(send);
         } else if (action instanceof CoordinatorAction.PublishLayout publish) {
-            publish(publish.layout());
+            publisher.publish(publish.layout());
         }
     }
 
@@ -322,86 +304,14 @@
 
     // ---- the published layout
 
-    private void publish(Layout layout) {
-        listener.accept(layout);
-        published = layout;
-        publishedJson = LayoutCodec.write(layout);
-        watchers.removeAll().forEach(this::sendLayout);
-    }
-
-    /**
-     * Answers a request for the layout, unless it is to wait for a newer one.
-     *
-     * @return whether the request was answered; otherwise it is to be handed to {@link
-     *     #awaitNewerLayout}
-     */
+    /** See {@link LayoutPublisher#answer}. */
     synchronized boolean answerLayoutRequest(LayoutRequest request) {
-        if (closing) {
-            request.responder().sendUnavailable("the service stops");
-            return true;
-        }
-        if (published == null) {
-            request.responder().sendUnavailable("there is no layout yet");
-            return true;
-        }
-        if (migrations != null && request.router().isPresent()) {
-            migrations
-                    .manager()
-                    .routerAcknowledgements()
-                    .onRequest(request.router().get(), request.heldVersion(), ServiceClock.now());
-        }
-        if (request.knownVersion() < published.version || waitMillis(request) <= 0) {
-            sendLayout(request);
-            return true;
-        }
-        if (watchers.isFull()) {
-            request.responder().sendOverloaded("too many wait for a newer layout");
-            return true;
-        }
-        return false;
+        return publisher.answer(request);
     }
 
-    /**
-     * Keeps the request until a newer layout is published or its wait is over, and answers it then.
-     */
+    /** See {@link LayoutPublisher#awaitNewer}. */
     synchronized void awaitNewerLayout(LayoutRequest request) {
-        if (closing) {
-            request.responder().sendUnavailable("the service stops");
-        } else if (published.version > request.knownVersion() || (migrations != null && stopped)) {
-            sendLayout(request);
-        } else {
-            watchers.add(
-                    request,
-                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis(request)));
-        }
-    }
-
-    /**
-     * A router under a lease is answered before the lease runs out, so that it is renewed while
-     * nothing changes.
-     */
-    private long waitMillis(LayoutRequest request) {
-        long wait = Math.min(MAX_WAIT_MILLIS, request.waitMillis());
-        if (migrations == null || request.router().isEmpty()) {
-            return wait;
-        }
-        return Math.min(
-                wait, config.migrationLimits().routerLease().toMillis() / ANSWERS_PER_LEASE);
-    }
-
-    private void sendLayout(LayoutRequest request) {
-        if (migrations != null && !isLeader()) {
-            // A layout given out now would be a lease that the successor knows nothing of.
-            request.responder().sendUnavailable("this service grants no leases any more");
-            return;
-        }
-        if (migrations != null && request.router().isPresent()) {
-            migrations
-                    .manager()
-                    .routerAcknowledgements()
-                    .onResponse(request.router().get(), published.version, ServiceClock.now());
-        }
-        request.responder().sendLayout(publishedJson);
+        publisher.awaitNewer(request);
     }
 
     private boolean isLeader() {
@@ -473,8 +383,7 @@
     synchronized void stop() {
         stopped = true;
         closing = true;
-        watchers.removeAll()
-                .forEach(request -> request.responder().sendUnavailable("the service stops"));
+        publisher.close();
         wake();
     }
 
