--- a/src/test/java/postbeam/layoutservice/LayoutServiceIT.java
+++ b/src/test/java/postbeam/layoutservice/LayoutServiceIT.java
@@ -206,7 +206,9 @@
             assertTrue(query(listen, 1, 0).startsWith("200 {\"total\":true,\"layout\":1,"));
             layouts("start", "--change", "{\"split\": 0, \"at\": [100]}");
             until(() -> query(listen, 2, 4).startsWith("200"));
-            String cut = query(listen, 1, 0);
+            // A search is complete with three quarters of its weight; a hold takes all keys.
+            String cut = query(listen, "/hold?obj=1", 1, 0);
+            assertTrue(cut.startsWith("200 {\"total\":true,"), cut);
             assertTrue(
                     cut.contains("\"from\":0,\"to\":100,\"named\":[0]")
                             && cut.contains("\"range\":5,\"from\":100"),
@@ -233,11 +235,15 @@
     /** Status, how long to wait where that is told, and the body. */
     private static String query(String router, long version, int slice)
             throws IOException, InterruptedException {
+        return query(router, "/search?obj=1", version, slice);
+    }
+
+    private static String query(String router, String path, long version, int slice)
+            throws IOException, InterruptedException {
         HttpResponse<String> answer =
                 HttpClient.newHttpClient()
                         .send(
-                                HttpRequest.newBuilder(
-                                                URI.create("http://" + router + "/search?obj=1"))
+                                HttpRequest.newBuilder(URI.create("http://" + router + path))
                                         .header("Req-Id", "q" + System.nanoTime())
                                         .header("Req-Owner", "acme")
                                         .header("Req-Deadline-Ms", "3000")
