Review: a spoilt answer with the end moved makes a seat-hold run twice

The router takes a word of its own extension as proof that a part never ran, also where slices don't move.

--- a/review/support/Rig.java
+++ b/review/support/Rig.java
@@ -69,6 +69,15 @@
         void answer(Node node, Part part, int waiting) throws IOException;
     }
 
+    /** How a data node of an installation whose slices move handles orders and calls. */
+    interface Slices {
+        /** Carries out an order and returns its answer. */
+        String order(String order);
+
+        /** Whether the node serves the slice for a call of this version. */
+        boolean serves(int slice, long version);
+    }
+
     /** One part as it arrived at a data node. */
     static final class Part {
         final String id;
@@ -181,6 +190,9 @@
         volatile boolean hanging;
         volatile boolean quiet;
 
+        /** Null where shards stay. */
+        volatile Slices slices;
+
         Node(String name, String zone, int cell, String address) throws IOException {
             this.name = name;
             this.zone = zone;
@@ -229,6 +241,11 @@
         private void handle(NodeConnection connection, String frame) throws IOException {
             switch (frame.charAt(0)) {
                 case 'm' -> call(connection, frame.substring(1));
+                case 's' -> {
+                    String answer = slices.order(frame.substring(1));
+                    note(name + " was ordered " + frame.substring(1) + ", answers " + answer);
+                    connection.write(frame("s" + answer, 0));
+                }
                 case 'n' -> note(name + " gave up " + frame.substring(1));
                 case 'o', 'p' -> {
                     if (!hanging) {
@@ -239,7 +256,7 @@
             }
         }
 
-        private void call(NodeConnection connection, String parts) {
+        private void call(NodeConnection connection, String parts) throws IOException {
             String rest = parts;
             while (!rest.isEmpty()) {
                 int end = rest.indexOf('\n');
@@ -248,9 +265,12 @@
                 String text = rest.substring(end + 1, end + 1 + length);
                 rest = rest.substring(end + 1 + length);
                 long deadline = 0;
+                long version = 0;
                 for (String item : words[2].split(",")) {
                     if (item.startsWith("d=")) {
                         deadline = Long.parseLong(item.substring(2));
+                    } else if (item.startsWith("v=")) {
+                        version = Long.parseLong(item.substring(2));
                     }
                 }
                 Part part =
@@ -261,6 +281,13 @@
                                 text,
                                 connection,
                                 nowMs());
+                if (slices != null && !slices.serves(part.shard, version)) {
+                    if (!quiet) {
+                        note(name + " answers moved to " + part.id);
+                    }
+                    connection.write(frame("q" + part.id + " moved 0 -\n", 0));
+                    continue;
+                }
                 connection.waiting.add(part.id);
                 arrived.add(part);
                 if (!quiet) {
@@ -295,11 +322,26 @@
                     frame("q" + part.id + " good 0 -\n" + valueOf(part.query, part.shard), 0));
         }
 
+        /** Ends as a process does: its connections are reset, and new ones are refused. */
+        void end() throws IOException {
+            server.close();
+            for (Socket socket : sockets) {
+                if (!socket.isClosed()) {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                }
+            }
+        }
+
         String entry() {
+            return entry(dial());
+        }
+
+        String entry(String dial) {
             return "{\"host\":\""
                     + name
                     + "\",\"dial\":\""
-                    + dial()
+                    + dial
                     + "\",\"site\":\""
                     + zone
                     + "\",\"class\":\"std-2core\",\"block\":"
@@ -318,6 +360,113 @@
         }
     }
 
+    // ---- the way to a data node
+
+    /**
+     * The way from one peer to a data node. While it is cut, open connections stay open and silent,
+     * and new ones bring nothing and are reset once the cut is over. What was written to an open
+     * connection during the cut arrives a while after it, as by TCP's retransmission.
+     */
+    final class Way implements Closeable {
+        private final ServerSocket server;
+        private final Node node;
+        private final int arrivesLateMs;
+        private boolean cut;
+        private long cutOverMs;
+
+        Way(Node node, int arrivesLateMs) throws IOException {
+            this.node = node;
+            this.arrivesLateMs = arrivesLateMs;
+            server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+            daemon(this::accept).start();
+            open.add(this);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        synchronized void cut(boolean begins) {
+            cut = begins;
+            cutOverMs = nowMs();
+            note("the way to " + node.name + (begins ? " is cut" : " is back"));
+            notifyAll();
+        }
+
+        private synchronized boolean isCut() {
+            return cut;
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket near = server.accept();
+                    daemon(() -> carry(near)).start();
+                }
+            } catch (IOException e) {
+                // Closed.
+            }
+        }
+
+        private void carry(Socket near) {
+            try (near) {
+                near.setTcpNoDelay(true);
+                if (isCut()) {
+                    awaitBack();
+                    near.setSoLinger(true, 0);
+                    return;
+                }
+                try (Socket far =
+                        new Socket(node.server.getInetAddress(), node.server.getLocalPort())) {
+                    far.setTcpNoDelay(true);
+                    Thread back = daemon(() -> pump(far, near, false));
+                    back.start();
+                    pump(near, far, true);
+                    // What the node still answers goes nowhere.
+                    Thread.sleep(500);
+                }
+            } catch (IOException | InterruptedException e) {
+                // One of both has gone.
+            }
+        }
+
+        private void pump(Socket from, Socket to, boolean towardsNode) {
+            byte[] buffer = new byte[4096];
+            try {
+                int count;
+                while ((count = from.getInputStream().read(buffer)) > 0) {
+                    if (isCut()) {
+                        if (!towardsNode) {
+                            continue;
+                        }
+                        note(count + " bytes to " + node.name + " are held up by the cut");
+                        awaitBack();
+                        long left;
+                        synchronized (this) {
+                            left = cutOverMs + arrivesLateMs - nowMs();
+                        }
+                        Thread.sleep(Math.max(0, left));
+                        note(count + " bytes that the cut held up reach " + node.name);
+                    }
+                    to.getOutputStream().write(buffer, 0, count);
+                }
+            } catch (IOException | InterruptedException e) {
+                // One of both has gone.
+            }
+        }
+
+        private synchronized void awaitBack() throws InterruptedException {
+            while (cut) {
+                wait();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
     // ---- discovery
 
     /** The discovery agent: the whole list, and a watch that tells it again when it has changed. */
@@ -326,10 +475,19 @@
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
         private long seq = 1;
         private String hosts;
+
+        /** Addresses that this agent tells in place of the nodes' own, by name. */
+        private final Map<String, String> dials;
+
         /** How late each answer begins, in milliseconds. */
         volatile int lateMs;
 
         Discovery() throws IOException {
+            this(Map.of());
+        }
+
+        Discovery(Map<String, String> dials) throws IOException {
+            this.dials = dials;
             server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
             hosts = entries();
             daemon(this::accept).start();
@@ -339,7 +497,7 @@
         private String entries() {
             List<String> entries = new ArrayList<>();
             for (Node node : nodes) {
-                entries.add(node.entry());
+                entries.add(node.entry(dials.getOrDefault(node.name, node.dial())));
             }
             return String.join(",", entries);
         }
@@ -484,8 +642,17 @@
 
         /** Starts it by the command of the deploy file. */
         void start() throws IOException {
-            ProcessBuilder builder =
-                    new ProcessBuilder("/bin/sh", "-c", deployCommand("run"));
+            start("");
+        }
+
+        /** Starts it by the command of the deploy file with further arguments. */
+        void start(String arguments) throws IOException {
+            launch(deployCommand("run") + arguments);
+        }
+
+        /** Starts a process by a command, from the root. */
+        void launch(String command) throws IOException {
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
             builder.directory(root().toFile());
             builder.environment().put("BALANCER_NAME", name);
             builder.environment().put("BALANCER_LISTEN", address());
