--- a/review/support/Rig.java
+++ b/review/support/Rig.java
@@ -155,6 +155,9 @@
         final Socket socket;
         final Set<String> waiting = ConcurrentHashMap.newKeySet();
 
+        /** Whether a spoilt answer went out, after which no other follows. */
+        volatile boolean spoilt;
+
         NodeConnection(Socket socket) {
             this.socket = socket;
         }
@@ -679,7 +682,7 @@
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             builder.redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")));
-            process = builder.start();
+            process = Rig.this.start(builder);
             note(name + " started, process " + process.pid());
         }
 
@@ -711,7 +714,7 @@
         @Override
         public void close() {
             if (process != null) {
-                process.destroyForcibly();
+                endAll(process);
             }
         }
     }
@@ -864,6 +867,22 @@
     }
 
     private boolean closed;
+    private final Set<Process> started = ConcurrentHashMap.newKeySet();
+
+    /** Starts a process that ends with the case; none is started once the case has ended. */
+    synchronized Process start(ProcessBuilder builder) throws IOException {
+        if (closed) {
+            throw new IOException("the case has ended");
+        }
+        Process process = builder.start();
+        started.add(process);
+        return process;
+    }
+
+    private static void endAll(Process process) {
+        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        process.destroyForcibly();
+    }
 
     @Override
     public synchronized void close() {
@@ -871,6 +890,7 @@
             return;
         }
         closed = true;
+        started.forEach(Rig::endAll);
         for (Closeable one : open) {
             if (one instanceof Router router) {
                 router.close();
--- a/review/support/SliceSettings.java
+++ b/review/support/SliceSettings.java
@@ -39,13 +39,16 @@
     static String operator(Rig rig, Path settings, String command)
             throws IOException, InterruptedException {
         Process process =
-                new ProcessBuilder(
-                                "/bin/sh",
-                                "-c",
-                                "exec sh deploy/run.sh layouts " + command + " --settings " + settings)
-                        .directory(Rig.root().toFile())
-                        .redirectErrorStream(true)
-                        .start();
+                rig.start(
+                        new ProcessBuilder(
+                                        "/bin/sh",
+                                        "-c",
+                                        "exec sh deploy/run.sh layouts "
+                                                + command
+                                                + " --settings "
+                                                + settings)
+                                .directory(Rig.root().toFile())
+                                .redirectErrorStream(true));
         String said =
                 new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
         rig.note("operator: layouts " + command + ": status " + process.waitFor() + ": " + said);
--- a/review/support/UnfencedHolder.java
+++ b/review/support/UnfencedHolder.java
@@ -11,7 +11,7 @@
     private static final int DEADLINE_MS = 3000;
 
     /** How long the zone is cut off. */
-    private static final int CUT_MS = 20_000;
+    private static final int CUT_MS = 18_000;
 
     /** From the cut to the drain and the move, and from there to the node's leaving the list. */
     private static final int DRAIN_AFTER_MS = 1000;
