--- a/review/support/SpoiltLength.java
+++ b/review/support/SpoiltLength.java
@@ -30,13 +30,18 @@
                             boolean now;
                             int less;
                             synchronized (rig.random) {
+                                if (part.connection.spoilt) {
+                                    return;
+                                }
                                 now = waiting > 0 && rig.random.nextDouble() < SPOILT;
-                                less = 1 + rig.random.nextInt(15);
+                                less = 4 + rig.random.nextInt(12);
                             }
                             if (!now) {
                                 at.answerWell(part, waiting);
                                 return;
                             }
+                            // The connection stays open and is of no more use.
+                            part.connection.spoilt = true;
                             spoilt.incrementAndGet();
                             rig.note(
                                     at.name
