--- a/review/support/UnknownEnd.java
+++ b/review/support/UnknownEnd.java
@@ -36,6 +36,9 @@
                         (at, part, waiting) -> {
                             String end = null;
                             synchronized (rig.random) {
+                                if (part.connection.spoilt) {
+                                    return;
+                                }
                                 if (rig.random.nextDouble() < SPOILT) {
                                     end = ENDS.get(rig.random.nextInt(ENDS.size()));
                                 }
@@ -44,6 +47,8 @@
                                 at.answerWell(part, waiting);
                                 return;
                             }
+                            // The connection stays open and is of no more use.
+                            part.connection.spoilt = true;
                             spoilt.computeIfAbsent(end, word -> new AtomicInteger())
                                     .incrementAndGet();
                             endOf.put(part.id, end);
