Data nodes: an answer whose length does not fit what follows is not served

Cause: a value has no length of its own, so only the bytes behind a frame can show that the frame's length is wrong. FrameReader passed each frame on before it looked at them. They begin no frame, and the connection was closed for that, but the answer before them had been taken. A length that is too long by one let the first byte of the next header into the value in the same way.

The same bytes without sockets give the same value in one read and cut between two at any byte.

Change: a frame is held until what follows is judged (FrameBoundary): nothing, or the header of a frame that a node may send, confirms its length; up to four bytes leave it open, and it waits for more if more is due, 400 ms at most. Where no frame begins, the answer is in doubt if the bytes may be the rest of its value, or make up a header with the value's end; it ends as a failed attempt that may have run. Other noise leaves the answer before it as it was, which is served at once. A value must be UTF-8, as a cut may fall within a character. The type of a frame is checked with its header.

Why it works: the rest of a text value can't look like a header, whose upper length bytes are 0 and no text.

--- a/src/main/java/postbeam/datanodes/FrameCodec.java
+++ b/src/main/java/postbeam/datanodes/FrameCodec.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -39,6 +40,9 @@
 
     private static final int TYPE_BYTES = 1;
 
+    /** Length and type. */
+    static final int HEADER_BYTES = LENGTH_BYTES + TYPE_BYTES;
+
     /** Limit for text of a response that a message quotes. */
     private static final int MAX_QUOTED_CHARS = 100;
 
@@ -73,7 +77,7 @@
     }
 
     private static ByteBuffer allocate(char type, int payloadBytes) {
-        return ByteBuffer.allocate(LENGTH_BYTES + TYPE_BYTES + payloadBytes)
+        return ByteBuffer.allocate(HEADER_BYTES + payloadBytes)
                 .order(ByteOrder.LITTLE_ENDIAN)
                 .putInt(TYPE_BYTES + payloadBytes)
                 .put((byte) type);
@@ -81,6 +85,28 @@
 
     // ---- decoding
 
+    /** Returns whether a received frame may have this length of type and payload. */
+    static boolean isValidLength(int length) {
+        return length >= TYPE_BYTES && length <= MAX_FRAME_BYTES;
+    }
+
+    /** Returns whether a node sends frames of this type. */
+    static boolean isNodeFrameType(char type) {
+        return switch (type) {
+            case RESPONSE, PROBE, LOAD_PROBE, PROTOCOL_ERROR -> true;
+            default -> false;
+        };
+    }
+
+    /** Returns the id that a response begins with, which need not be known. */
+    static String attemptId(byte[] payload) {
+        int end = 0;
+        while (end < payload.length && payload[end] != ' ') {
+            end++;
+        }
+        return new String(payload, 0, end, StandardCharsets.UTF_8);
+    }
+
     /**
      * Decodes the payload of a response: a line of id, outcome, score and load report, separated by
      * spaces, then the value.
@@ -123,16 +149,37 @@
     }
 
     /**
-     * Rejects control characters. A frame length that is too large makes the value include the
-     * header of the next frame, whose length bytes are control characters.
+     * Rejects a value that is not UTF-8 text without control characters. A wrong frame length may
+     * end the value within a character, or make it include the header of the next frame, whose
+     * length bytes are control characters.
      */
     private static void checkIsText(byte[] value) throws MalformedFrameException {
+        boolean ascii = true;
         for (byte b : value) {
-            if (b >= 0 && b < ' ') {
+            ascii &= b >= 0;
+            if (isControlCharacter(b)) {
                 throw new MalformedFrameException(
                         "response value must be text, but contains the control character 0x"
                                 + Integer.toHexString(b));
             }
         }
+        if (!ascii && !isUtf8(value)) {
+            throw new MalformedFrameException(
+                    "response value must be UTF-8, but is not: " + value.length + " bytes");
+        }
+    }
+
+    private static boolean isUtf8(byte[] bytes) {
+        try {
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes));
+            return true;
+        } catch (CharacterCodingException e) {
+            return false;
+        }
+    }
+
+    /** Returns whether the byte is an ASCII control character, which no value contains. */
+    static boolean isControlCharacter(byte b) {
+        return b >= 0 && b < ' ';
     }
 }
--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -235,22 +235,21 @@
         if (closed) {
             return;
         }
-        List<AttemptResult> results = new ArrayList<>();
+        ReceivedFrames frames = new ReceivedFrames();
         String failure = null;
         boolean malformed = false;
         try {
-            boolean open =
-                    reader.read(source, (type, payload) -> handleFrame(type, payload, results));
+            boolean open = reader.read(source, frames);
             failure = open ? null : "the node closed the connection";
-            checkPartialFrame();
+            checkPartialFrame(frames);
         } catch (MalformedFrameException e) {
             failure = e.getMessage();
             malformed = true;
         } catch (IOException | RuntimeException e) {
             failure = "read failed: " + e;
         }
-        if (!results.isEmpty()) {
-            listener.onAttemptResults(results);
+        if (!frames.results.isEmpty()) {
+            listener.onAttemptResults(frames.results);
         }
         if (failure != null) {
             close(failure, malformed);
@@ -259,9 +258,9 @@
         }
     }
 
-    private void checkPartialFrame() throws MalformedFrameException {
+    private void checkPartialFrame(ReceivedFrames frames) throws MalformedFrameException {
         boolean responseExpected = !inFlight.isEmpty() || !pendingProbes.isEmpty();
-        if (reader.checkPartialFrame(responseExpected)) {
+        if (reader.checkPartialFrame(responseExpected, frames)) {
             channel.getIoThread()
                     .executeAfter(
                             () -> read(channel.getSourceChannel()),
@@ -270,6 +269,25 @@
         }
     }
 
+    /** Handles the frames of one read and collects the results of the attempts that they end. */
+    private final class ReceivedFrames implements FrameReader.FrameHandler {
+        final List<AttemptResult> results = new ArrayList<>();
+
+        @Override
+        public void handleFrame(char type, byte[] payload) throws MalformedFrameException {
+            NodeConnection.this.handleFrame(type, payload, results);
+        }
+
+        @Override
+        public boolean expectsMoreAfter(char type, byte[] payload) {
+            boolean expected =
+                    type == FrameCodec.RESPONSE
+                            ? inFlight.find(FrameCodec.attemptId(payload)) != null
+                            : !pendingProbes.isEmpty();
+            return inFlight.size() + pendingProbes.size() > (expected ? 1 : 0);
+        }
+    }
+
     private void handleFrame(char type, byte[] payload, List<AttemptResult> results)
             throws MalformedFrameException {
         switch (type) {
@@ -285,8 +303,8 @@
                                                     StandardCharsets.UTF_8)
                                             .replaceAll("\\p{Cc}", "?"));
             default ->
-                    throw new MalformedFrameException(
-                            "unknown frame type 0x" + Integer.toHexString(type));
+                    throw new IllegalStateException(
+                            "the reader passed on a frame of type 0x" + Integer.toHexString(type));
         }
     }
 
--- a/src/test/java/postbeam/datanodes/FrameCodecTest.java
+++ b/src/test/java/postbeam/datanodes/FrameCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import postbeam.model.AttemptOutcome;
 
@@ -61,4 +62,13 @@
                     payload);
         }
     }
+
+    /** A value that is cut off within a character is no text that a node made. */
+    @Test
+    void valueThatEndsWithinCharacterIsRejected() {
+        byte[] payload = bytes("a.1 good 0 -\nx\u00e4");
+        assertThrows(
+                MalformedFrameException.class,
+                () -> FrameCodec.decodeResponse(Arrays.copyOf(payload, payload.length - 1)));
+    }
 }
--- a/src/test/java/postbeam/datanodes/NodeConnectionTest.java
+++ b/src/test/java/postbeam/datanodes/NodeConnectionTest.java
@@ -2,12 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -16,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -30,7 +36,7 @@
 import postbeam.router.InFlightQuery;
 import postbeam.router.PolicyExecutor;
 
-/** Tests calls to a node that accepts connections and does not respond. */
+/** Tests calls to a node whose responses, if any, are written by the test. */
 @Timeout(30)
 class NodeConnectionTest {
     private final ServerSocket node = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -42,7 +48,8 @@
                             Json.parseObject(
                                     ("{\"zone\":\"a\",\"nInstances\":1,"
                                          + "\"domain\":{\"cells\":1,\"reach\":1},\"caps\":{\"maxAttempts\":3,\"cancelling\":true},\"classes\":["
-                                         + "{\"name\":\"lookup\",\"promise\":1000000,\"effect\":\"retryable\"}]}")
+                                         + "{\"name\":\"lookup\",\"promise\":1000000,\"effect\":\"retryable\"},"
+                                         + "{\"name\":\"hold\",\"promise\":1000000,\"effect\":\"fragile\"}]}")
                                             .getBytes(StandardCharsets.UTF_8)),
                             ""),
                     1,
@@ -98,10 +105,14 @@
     }
 
     private InFlightQuery accept(String id) throws Exception {
+        return accept(id, "lookup");
+    }
+
+    private InFlightQuery accept(String id, String queryClass) throws Exception {
         return executor.accept(
                         new ClientRequest(
                                 id,
-                                "lookup",
+                                queryClass,
                                 null,
                                 Duration.ofSeconds(5),
                                 List.of(new ClientRequest.RequestedShard(0, 1, null)),
@@ -165,4 +176,55 @@
         assertInstanceOf(QueryAction.CancelAttempt.class, executor.awaitAction(leaving));
         assertInstanceOf(QueryAction.ClientDisconnected.class, executor.awaitAction(leaving));
     }
+
+    /** Writes a frame whose stated length differs from its real one by the error. */
+    private static void writeFrame(Socket router, String text, int lengthError) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        router.getOutputStream()
+                .write(
+                        ByteBuffer.allocate(FrameCodec.LENGTH_BYTES + bytes.length)
+                                .order(ByteOrder.LITTLE_ENDIAN)
+                                .putInt(bytes.length + lengthError)
+                                .put(bytes)
+                                .array());
+    }
+
+    /**
+     * A value that was cut off by a wrong length must not be served; its attempt failed and may
+     * have run.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 6, 15})
+    void cutOffAnswerIsNotServedWhileAnotherIsDue(int missing) throws Exception {
+        InFlightQuery query = accept("q1", "hold");
+        InFlightQuery other = accept("q2", "hold");
+        send(query);
+        send(other);
+        try (Socket router = node.accept()) {
+            DataInputStream in = new DataInputStream(router.getInputStream());
+            readFirstWord(in);
+            readFirstWord(in);
+            writeFrame(router, "qq1.0 good 0 -\n9a55dffaf8581041", -missing);
+            assertInstanceOf(QueryAction.Abort.class, executor.awaitAction(query));
+            assertInstanceOf(QueryAction.Abort.class, executor.awaitAction(other));
+        }
+    }
+
+    /** Noise behind the only answer that is due must not delay or fail that answer. */
+    @Test
+    void answerBeforeNoiseIsServedAtOnceIfNothingElseIsDue() throws Exception {
+        InFlightQuery query = accept("q1", "hold");
+        send(query);
+        try (Socket router = node.accept()) {
+            readFirstWord(new DataInputStream(router.getInputStream()));
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            bytes.writeBytes(new byte[] {22, 0, 0, 0});
+            bytes.writeBytes("qq1.0 good 0 -\n9a55dff".getBytes(StandardCharsets.UTF_8));
+            bytes.writeBytes(new byte[] {'a', 9});
+            long startNanos = System.nanoTime();
+            router.getOutputStream().write(bytes.toByteArray());
+            assertInstanceOf(QueryAction.Answer.class, executor.awaitAction(query));
+            assertTrue(System.nanoTime() - startNanos < FrameReader.MAX_FRAME_DURATION.toNanos());
+        }
+    }
 }
