Data nodes: moved proves nothing for a call that named no slice

Cause: moved ends a call for a slice that its node has left, and proves that the part never ran. A node can know that only from the layout version and the keys in the call. FrameCodec took the word for any call, also where no slices are configured and calls name none; there it is an unknown end, and the part may have run.

The new test sends moved and gone for a call without a slice: on the commit before, moved was followed by another send, gone by the abort; both abort now.

Change: NodeConnection takes the outcome only for a call that named its slice (DispatchedAttempt.namesSlice); else the answer is malformed and ends as a failed attempt that may have run. Calls of slices are as before (FrameSamplesTest.movedIsTheOutcomeOfCallsThatNameTheirSlice has both).

Why it works: the proof hangs on the call itself, not on a setting or a deployment, so a node that serves installations of both kinds can't give it by mistake.

--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -313,6 +313,7 @@
         ShardResponse response = FrameCodec.decodeResponse(payload);
         InFlightAttempt inFlightAttempt = inFlight.find(response.attemptId());
         if (inFlightAttempt != null) {
+            checkOutcomeIsPossible(inFlightAttempt.attempt(), response.outcome());
             endAttempt(inFlightAttempt.attempt());
             results.add(
                     new AttemptResult(
@@ -331,6 +332,18 @@
         }
     }
 
+    /**
+     * Rejects the outcome MOVED for a call that did not name its slice. Such a node can't know that
+     * the request did not run.
+     */
+    private static void checkOutcomeIsPossible(DispatchedAttempt attempt, AttemptOutcome outcome)
+            throws MalformedFrameException {
+        if (outcome == AttemptOutcome.MOVED && !attempt.namesSlice()) {
+            throw new MalformedFrameException(
+                    "response outcome is moved, but the call did not name a slice");
+        }
+    }
+
     private void handleProbeResult(byte[] payload) throws MalformedFrameException {
         String node = pendingProbes.poll();
         if (node == null) {
--- a/src/main/java/postbeam/dispatch/DispatchedAttempt.java
+++ b/src/main/java/postbeam/dispatch/DispatchedAttempt.java
@@ -115,6 +115,14 @@
         clients.forEach(ClientPresence::check);
     }
 
+    /**
+     * Returns whether the call names the keys of its slice and the layout version, so that the node
+     * can know that it does not hold the slice.
+     */
+    public boolean namesSlice() {
+        return !headerFields.isEmpty();
+    }
+
     /** Returns how long the answer is still awaited, in milliseconds; at least 1. */
     public long remainingMillis() {
         return Math.max(1, (deadlineNanos - System.nanoTime()) / NANOS_PER_MILLI);
--- a/src/main/java/postbeam/model/AttemptOutcome.java
+++ b/src/main/java/postbeam/model/AttemptOutcome.java
@@ -18,7 +18,7 @@
     CANCELLED(false),
     /** The attempt was never sent. */
     NEVER_SENT(true),
-    /** The data node does not hold the requested slice. */
+    /** The data node does not hold the slice that the call named. */
     MOVED(true);
 
     /** Whether this outcome proves that the data node did not execute the request. */
--- a/src/test/java/postbeam/datanodes/FrameSamplesTest.java
+++ b/src/test/java/postbeam/datanodes/FrameSamplesTest.java
@@ -16,6 +16,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -27,6 +29,8 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import postbeam.config.InstanceSettings;
+import postbeam.dispatch.AttemptListener;
+import postbeam.dispatch.AttemptResult;
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.QueryAction;
 import postbeam.endpoints.Endpoint;
@@ -305,4 +309,45 @@
                     });
         }
     }
+
+    /**
+     * A node that has left a slice proves that the request did not run, and it is sent to another
+     * node; a call without a slice leaves nothing to prove.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, MOVED", "false, ERROR"})
+    void movedIsTheOutcomeOfCallsThatNameTheirSlice(boolean sliced, AttemptOutcome expected)
+            throws Exception {
+        startExecutor(sliced ? new SliceTranslator() : null, null);
+        BlockingQueue<AttemptResult> results = new LinkedBlockingQueue<>();
+        DataNodeClient dataNodeClient =
+                new DataNodeClient(
+                        worker.getIoThread(),
+                        new AttemptListener() {
+                            @Override
+                            public void onAttemptResults(List<AttemptResult> ended) {
+                                results.addAll(ended);
+                            }
+
+                            @Override
+                            public void onHealthCheck(String nodeName, boolean healthy) {}
+                        },
+                        32,
+                        Duration.ofSeconds(5),
+                        Duration.ofSeconds(10),
+                        10,
+                        false);
+        QueryAction.Send send = send(accept(null, 0));
+        dataNodeClient.send(send.address(), send.attempts());
+        try (Socket router = node.accept()) {
+            readFrame(new DataInputStream(router.getInputStream()));
+            router.getOutputStream()
+                    .write(
+                            toArray(
+                                    FrameCodec.encode(
+                                            FrameCodec.RESPONSE,
+                                            send.attempts().get(0).id + " moved 0 -\n")));
+            assertEquals(expected, results.take().outcome());
+        }
+    }
 }
--- a/src/test/java/postbeam/datanodes/NodeConnectionTest.java
+++ b/src/test/java/postbeam/datanodes/NodeConnectionTest.java
@@ -227,4 +227,20 @@
             assertTrue(System.nanoTime() - startNanos < FrameReader.MAX_FRAME_DURATION.toNanos());
         }
     }
+
+    /**
+     * An outcome that the protocol does not know for this call is no proof that the request did not
+     * run; a request with side effects must not be sent again.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"moved", "gone"})
+    void unknownOutcomeDoesNotProveThatTheRequestDidNotRun(String outcome) throws Exception {
+        InFlightQuery query = accept("q1", "hold");
+        send(query);
+        try (Socket router = node.accept()) {
+            readFirstWord(new DataInputStream(router.getInputStream()));
+            writeFrame(router, "qq1.0 " + outcome + " 0 -\n", 0);
+            assertInstanceOf(QueryAction.Abort.class, executor.awaitAction(query));
+        }
+    }
 }
