--- a/src/main/java/postbeam/datanodes/FrameReader.java
+++ b/src/main/java/postbeam/datanodes/FrameReader.java
@@ -135,20 +135,18 @@
         if (heldFrame == null) {
             return true;
         }
-        byte[] header = unreadBytes(FrameCodec.HEADER_BYTES);
-        switch (FrameBoundary.classify(header)) {
-            case INCOMPLETE_HEADER -> {
-                return false;
-            }
-            case NO_HEADER ->
-                    passOnUnless(
-                            FrameBoundary.isInDoubt(
-                                    heldFrame.payload(),
-                                    unreadBytes(buffer.remaining()),
-                                    expectsMoreAfterHeldFrame(handler)),
-                            handler);
-            case NOTHING, HEADER -> passOnUnless(false, handler);
+        FrameBoundary.Following following =
+                FrameBoundary.classify(unreadBytes(FrameCodec.HEADER_BYTES));
+        if (following == FrameBoundary.Following.INCOMPLETE_HEADER) {
+            return false;
         }
+        boolean inDoubt =
+                following == FrameBoundary.Following.NO_HEADER
+                        && FrameBoundary.isInDoubt(
+                                heldFrame.payload(),
+                                unreadBytes(buffer.remaining()),
+                                expectsMoreAfterHeldFrame(handler));
+        passOnUnless(inDoubt, handler);
         return true;
     }
 
