Review case 6: the unfinished requests come faster, and come again

Cause: on a single core the 300 requests did not all come before the first were cut off, and the case held.

Added: their bytes are written by one thread, and the same comes twice more. The bound and the check are as before.

--- a/review/support-2/review2/HalfRequests.java
+++ b/review/support-2/review2/HalfRequests.java
@@ -10,6 +10,10 @@
  */
 final class HalfRequests implements Case.Body {
     private static final int BAD_CLIENTS = 300;
+
+    /** How often they come: "the same again as soon as it is turned away". */
+    private static final int WAVES = 3;
+
     private static final int MEMORY_MB = 112;
 
     @Override
@@ -23,15 +27,12 @@
             router.awaitReady(30);
             Load load = new Load(trace, router.port).start(100, "search", "hold");
             Thread.sleep(2000);
-            List<Thread> bad = new ArrayList<>();
             if (trouble) {
-                trace.line(BAD_CLIENTS + " clients send all but the last 20 bytes, and stay");
-                for (int i = 0; i < BAD_CLIENTS; i++) {
-                    Exchange one = new Exchange(trace, router.port, "bad" + i, false);
-                    bad.add(Threads.daemon(() -> half(one)));
+                for (int wave = 1; wave <= WAVES; wave++) {
+                    trace.line(BAD_CLIENTS + " clients send all but the last 20 bytes, and stay");
+                    halves(trace, router.port, wave);
                 }
             }
-            Thread.sleep(8000);
             trace.line("the bad clients have gone");
             Thread.sleep(8000);
             boolean healthy = router.healthy();
@@ -44,20 +45,21 @@
         }
     }
 
-    /** Sends the head, some bytes, and the rest but for the end; stays until it is cut off. */
-    private static void half(Exchange one) {
-        try {
-            String request = Exchange.query("search", one.id, 3000, 0, "x".repeat(65_400));
-            int body = request.indexOf("\r\n\r\n") + 4;
-            one.send(request.substring(0, body));
-            Thread.sleep(100);
-            one.send(request.substring(body, body + 1000));
-            Thread.sleep(50);
-            one.send(request.substring(body + 1000, request.length() - 20));
-            one.await(6000);
-            one.close();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    /** Sends heads, some bytes, and the rest but for the ends; all stay until they are cut off. */
+    private static void halves(Trace trace, int port, int wave) throws InterruptedException {
+        List<Exchange> bad = new ArrayList<>();
+        String request = Exchange.query("search", "bad0000", 3000, 0, "x".repeat(65_400));
+        int body = request.indexOf("\r\n\r\n") + 4;
+        for (int i = 0; i < BAD_CLIENTS; i++) {
+            Exchange one = new Exchange(trace, port, "bad", false);
+            bad.add(one);
+            String id = String.format("bad%d%03d", wave, i);
+            one.send(request.substring(0, body).replace("bad0000", id));
         }
+        bad.forEach(one -> one.send(request.substring(body, body + 1000)));
+        Thread.sleep(50);
+        bad.forEach(one -> one.send(request.substring(body + 1000, request.length() - 20)));
+        Thread.sleep(3000);
+        bad.forEach(Exchange::close);
     }
 }
