Review case 6: inside the limits with all of the memory; case 10: half a character

Cause: the unfinished requests had 112 MB of memory to themselves; with heads of 7.8 KB, 330 of them are enough for the 192 MB that a router has at most. Case 10 left out a text that the project's own code alters by itself.

Added: 192 MB, 330 clients and longer heads in case 6; the escape of half a character in case 10. Bounds and checks are as before.

--- a/review/support-2/review2/AlteredText.java
+++ b/review/support-2/review2/AlteredText.java
@@ -49,6 +49,8 @@
             // the last one.
             texts.put("overlong-nul", new byte[] {(byte) 0xc0, (byte) 0x80});
             texts.put("overlong-letter", new byte[] {(byte) 0xc1, (byte) 0xa1, 'd', 'm', 'i', 'n'});
+            // An escape that stands for half a character, which no text of bytes can carry.
+            texts.put("half-character", "\\ud800".getBytes(StandardCharsets.US_ASCII));
             texts.put("beyond", new byte[] {(byte) 0xf4, (byte) 0x90, (byte) 0x80, (byte) 0x80});
         }
         return texts;
--- a/review/support-2/review2/HalfRequests.java
+++ b/review/support-2/review2/HalfRequests.java
@@ -9,12 +9,12 @@
  * allows. The usual clients' queries get their final answers all the same.
  */
 final class HalfRequests implements Case.Body {
-    private static final int BAD_CLIENTS = 300;
+    private static final int BAD_CLIENTS = 330;
 
     /** How often they come: "the same again as soon as it is turned away". */
     private static final int WAVES = 3;
 
-    private static final int MEMORY_MB = 112;
+    private static final int MEMORY_MB = 192;
 
     @Override
     public boolean run(Trace trace, Path folder, boolean trouble) throws Exception {
@@ -48,7 +48,9 @@
     /** Sends heads, some bytes, and the rest but for the ends; all stay until they are cut off. */
     private static void halves(Trace trace, int port, int wave) throws InterruptedException {
         List<Exchange> bad = new ArrayList<>();
-        String request = Exchange.query("search", "bad0000", 3000, 0, "x".repeat(65_400));
+        String request =
+                Exchange.query("search", "bad0000", 3000, 0, "x".repeat(65_400))
+                        .replace("Req-Owner", "Cookie: " + "y".repeat(7_600) + "\r\nReq-Owner");
         int body = request.indexOf("\r\n\r\n") + 4;
         for (int i = 0; i < BAD_CLIENTS; i++) {
             Exchange one = new Exchange(trace, port, "bad", false);
