--- a/review/support-2/review2/Drain.java
+++ b/review/support-2/review2/Drain.java
@@ -4,8 +4,8 @@
 
 /** A data node drains under the load of usual clients, stays up for a while, and then is gone. */
 final class Drain {
-    /** Each part works 20 ms. */
-    static final DataNode.Work WORK = (id, text) -> 20;
+    /** Each part works 400 ms, so that a data node that is taken away has some under way. */
+    static final DataNode.Work WORK = (id, text) -> 400;
 
     /** "At the latest 6 s after discovery had it and could be reached". */
     private static final double TOLD_SECONDS = 6;
@@ -34,7 +34,13 @@
         trace.line(node.name + " is taken away");
         node.close();
         Thread.sleep(1000);
-        trace.say(Load.summary(load.finish()));
+        List<Exchange> usual = load.finish();
+        trace.say(Load.summary(usual));
+        for (Exchange one : usual) {
+            if (one.status == 504 && late.stream().anyMatch(part -> part.id().equals(one.id + ".0"))) {
+                trace.say("accepted work is lost with " + node.name + ": " + one.id + ", a hold");
+            }
+        }
         trace.say(node.name + " had " + before + " parts before it drained");
         for (DataNode.Part part : late) {
             trace.line(
