JSON: documents that are not sound Unicode are refused, not altered

Cause: given bytes, the JSON library reads UTF-8 leniently and guesses other encodings; and half a surrogate pair from an escape is encoded as "?" by String.getBytes.

Change: Json.createParser reads every document through a decoder that rejects malformed input; JsonTreeReader rejects unpaired surrogates and repeated members. All readers of the project use these two. Related: responses to handoff commands were decoded leniently.

Errors name the file and line in settings, as before.

--- a/src/main/java/postbeam/config/SubsystemSettings.java
+++ b/src/main/java/postbeam/config/SubsystemSettings.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import postbeam.json.JsonTreeReader;
+import postbeam.json.MalformedJsonException;
 
 /**
  * Reads the JSON5 settings file of the subsystems that the platform's configuration file does not
@@ -65,7 +66,7 @@
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException(file + ": line 1: the settings must be an object");
             }
-            Map<String, Object> settings = new JsonTreeReader(parser, lines::put).readObject();
+            Map<String, Object> settings = readObject(file, parser, lines);
             if (parser.nextToken() != null) {
                 throw malformed(
                         file,
@@ -79,6 +80,15 @@
         }
     }
 
+    private static Map<String, Object> readObject(
+            String file, JsonParser parser, Map<String, Integer> lines) throws IOException {
+        try {
+            return new JsonTreeReader(parser, lines::put).readObject();
+        } catch (MalformedJsonException e) {
+            throw malformed(file, parser.currentLocation().getLineNr(), e.getMessage(), e);
+        }
+    }
+
     private static IOException malformed(String file, int line, String problem, Throwable cause) {
         return new IOException(file + ": line " + line + ": " + problem, cause);
     }
--- a/src/main/java/postbeam/json/Json.java
+++ b/src/main/java/postbeam/json/Json.java
@@ -5,9 +5,13 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 
@@ -31,13 +35,25 @@
 
     private Json() {}
 
+    /**
+     * Creates a parser for a document in UTF-8, the only encoding that RFC 8259 allows. Given the
+     * bytes, the library would accept overlong forms and code points beyond U+10FFFF, and would
+     * guess other encodings. A parser of malformed UTF-8 throws {@link CharacterCodingException}.
+     */
+    public static JsonParser createParser(byte[] bytes) throws IOException {
+        // Unlike a reader that is given the charset, one with a decoder rejects malformed input.
+        return FACTORY.createParser(
+                new InputStreamReader(
+                        new ByteArrayInputStream(bytes), StandardCharsets.UTF_8.newDecoder()));
+    }
+
     /**
      * Parses a document that consists of one object.
      *
      * @throws IOException if it is malformed or not an object; the message says why
      */
     public static Map<String, Object> parseObject(byte[] bytes) throws IOException {
-        try (JsonParser parser = FACTORY.createParser(bytes)) {
+        try (JsonParser parser = createParser(bytes)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new MalformedJsonException("not a JSON object");
             }
@@ -46,6 +62,8 @@
                 throw new MalformedJsonException("something follows the JSON object");
             }
             return object;
+        } catch (CharacterCodingException e) {
+            throw new MalformedJsonException("the JSON document is not valid UTF-8", e);
         }
     }
 
--- a/src/main/java/postbeam/json/JsonTreeReader.java
+++ b/src/main/java/postbeam/json/JsonTreeReader.java
@@ -10,7 +10,8 @@
 
 /**
  * Reads one object from a parser into maps, lists, strings, numbers, booleans and nulls. Members
- * keep the order of the document.
+ * keep the order of the document. Rejects repeated members and strings that are not valid Unicode,
+ * for which RFC 8259 leaves open what a receiver reads.
  */
 public final class JsonTreeReader {
     /** Receives the position of each member and list element. */
@@ -24,6 +25,9 @@
         void valueAt(String pointer, int line);
     }
 
+    /** Limit for the part of a name that a message quotes. */
+    private static final int MAX_QUOTED_CHARS = 100;
+
     private final JsonParser parser;
 
     /**
@@ -51,7 +55,10 @@
     private Map<String, Object> readMembers(String pointer) throws IOException {
         Map<String, Object> members = new LinkedHashMap<>();
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
-            String name = parser.currentName();
+            String name = checkUnicode(parser.currentName());
+            if (members.containsKey(name)) {
+                throw new MalformedJsonException("a member is repeated: " + quote(name));
+            }
             String memberPointer = child(pointer, name);
             reportPosition(memberPointer);
             parser.nextToken();
@@ -74,7 +81,7 @@
         return switch (parser.currentToken()) {
             case START_OBJECT -> readMembers(pointer);
             case START_ARRAY -> readElements(pointer);
-            case VALUE_STRING -> parser.getText();
+            case VALUE_STRING -> checkUnicode(parser.getText());
             case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
             case VALUE_TRUE -> true;
             case VALUE_FALSE -> false;
@@ -82,6 +89,29 @@
         };
     }
 
+    /**
+     * Returns the text if it is valid Unicode. An escape may stand for a surrogate without its
+     * partner, which no UTF-8 can encode: another character would be sent on in its place.
+     */
+    private static String checkUnicode(String text) throws MalformedJsonException {
+        int index = 0;
+        while (index < text.length()) {
+            int codePoint = text.codePointAt(index);
+            // A surrogate of a pair is part of a code point beyond the range of surrogates.
+            if (Character.getType(codePoint) == Character.SURROGATE) {
+                throw new MalformedJsonException(
+                        String.format("a string holds the unpaired surrogate U+%04X", codePoint));
+            }
+            index += Character.charCount(codePoint);
+        }
+        return text;
+    }
+
+    private static String quote(String name) {
+        return name.substring(0, Math.min(name.length(), MAX_QUOTED_CHARS))
+                .replaceAll("\\p{Cc}", "?");
+    }
+
     private String child(String pointer, Object nameOrIndex) {
         return listener == null ? pointer : pointer + "/" + nameOrIndex;
     }
--- a/src/main/java/postbeam/json/MalformedJsonException.java
+++ b/src/main/java/postbeam/json/MalformedJsonException.java
@@ -17,4 +17,13 @@
     public MalformedJsonException(String message) {
         super(message);
     }
+
+    /**
+     * Creates an exception with a cause.
+     *
+     * @param message a clause without a full stop, as above
+     */
+    MalformedJsonException(String message, Throwable cause) {
+        super(message, cause);
+    }
 }
--- a/src/main/java/postbeam/layoutservice/HandoffConnection.java
+++ b/src/main/java/postbeam/layoutservice/HandoffConnection.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -152,6 +153,10 @@
         }
         byte[] bytes = new byte[length];
         in.readFully(bytes);
-        return new String(bytes, StandardCharsets.UTF_8);
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+        } catch (CharacterCodingException e) {
+            throw new IOException("response frame is not valid UTF-8: " + length + " bytes", e);
+        }
     }
 }
--- a/src/test/java/postbeam/router/RouterIT.java
+++ b/src/test/java/postbeam/router/RouterIT.java
@@ -653,6 +653,8 @@
                         body.replace("\"range\":0", "\"range\":-1"),
                         body.replace("\"portion\":1", "\"portion\":0"),
                         body.replace("\"x\"", "7"),
+                        body.replace("\"x\"", "\"\\ud800\""),
+                        body.replace("\"x\"", "\"x\",\"predicate\":\"y\""),
                         "{\"ranges\":[]}"
                     }) {
                 assertAnswer(client, "400", post("/lookup", headers, invalidBody));
