Router: an id that attempts were made for is not accepted again

Cause: an attempt is named by query id and shard, and work that has begun goes on after a cancel. An id was refused only while its query was open, so the late answer of the first query was taken for the second. Keeping answers apart by connection would leave the second effect.

Requested shards count 512 bytes of the request memory, so that queries of 100 shards share it better.

--- a/src/main/java/postbeam/clients/QueryExchange.java
+++ b/src/main/java/postbeam/clients/QueryExchange.java
@@ -9,6 +9,7 @@
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.PendingQuery;
 import postbeam.dispatch.QueryAction;
+import postbeam.dispatch.ReusedRequestIdException;
 import postbeam.slices.UnroutableQueryException;
 
 /**
@@ -78,6 +79,10 @@
             client.requestMemory().release();
             respondUnroutable(e);
             return;
+        } catch (ReusedRequestIdException e) {
+            client.requestMemory().release();
+            ResponseWriter.sendText(exchange, 400, e.getMessage());
+            return;
         }
         if (query == null) {
             client.requestMemory().release();
--- a/src/main/java/postbeam/clients/QueryServer.java
+++ b/src/main/java/postbeam/clients/QueryServer.java
@@ -22,6 +22,7 @@
 import org.xnio.channels.Channels;
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.PendingQuery;
+import postbeam.dispatch.ReusedRequestIdException;
 import postbeam.errors.OperatorErrorException;
 import postbeam.slices.UnroutableQueryException;
 
@@ -65,8 +66,10 @@
          * @return null if a query with the same id is open
          * @throws UnroutableQueryException if the requested slices can't be translated to the
          *     current layout
+         * @throws ReusedRequestIdException if attempts were made for an earlier query with this id
          */
-        PendingQuery submit(ClientRequest request, Duration age) throws UnroutableQueryException;
+        PendingQuery submit(ClientRequest request, Duration age)
+                throws UnroutableQueryException, ReusedRequestIdException;
 
         /** Returns whether queries can be served; reported to health checks. */
         boolean isReady();
--- a/src/main/java/postbeam/dispatch/ClientRequest.java
+++ b/src/main/java/postbeam/dispatch/ClientRequest.java
@@ -33,7 +33,7 @@
      * Memory that one requested shard takes while its query is in flight, with its attempts and
      * their timers.
      */
-    private static final int BYTES_PER_SHARD = 1024;
+    private static final int BYTES_PER_SHARD = 512;
 
     /** Creates a first request, not a retry, for fixed shards and without a page. */
     public ClientRequest(
--- a/src/main/java/postbeam/router/InFlightQuery.java
+++ b/src/main/java/postbeam/router/InFlightQuery.java
@@ -98,6 +98,11 @@
         attempts.add(attempt);
     }
 
+    /** Returns whether any attempt was made for this query. */
+    boolean hasAttempts() {
+        return !attempts.isEmpty();
+    }
+
     void abandonAttempts() {
         attempts.forEach(DispatchedAttempt::abandon);
     }
--- a/src/main/java/postbeam/router/JitWarmUp.java
+++ b/src/main/java/postbeam/router/JitWarmUp.java
@@ -15,6 +15,7 @@
 import postbeam.dispatch.DispatchedAttempt;
 import postbeam.dispatch.PendingQuery;
 import postbeam.dispatch.QueryAction;
+import postbeam.dispatch.ReusedRequestIdException;
 import postbeam.endpoints.Endpoint;
 import postbeam.endpoints.EndpointUpdate;
 import postbeam.model.AttemptOutcome;
@@ -155,9 +156,10 @@
     private Optional<InFlightQuery> accept(ClientRequest request, Duration age) {
         try {
             return executor.accept(request, age);
-        } catch (UnroutableQueryException e) {
+        } catch (UnroutableQueryException | ReusedRequestIdException e) {
             throw new IllegalStateException(
-                    "a warm-up query was rejected although its shards are fixed", e);
+                    "a warm-up query was rejected although its shards are fixed and its id is new",
+                    e);
         }
     }
 
--- a/src/main/java/postbeam/router/PolicyExecutor.java
+++ b/src/main/java/postbeam/router/PolicyExecutor.java
@@ -13,6 +13,7 @@
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.DispatchedAttempt;
 import postbeam.dispatch.QueryAction;
+import postbeam.dispatch.ReusedRequestIdException;
 import postbeam.endpoints.EndpointUpdate;
 import postbeam.model.Attempt;
 import postbeam.model.AttemptOutcome;
@@ -131,9 +132,11 @@
      * @param age time since the query's first byte arrived
      * @return the accepted query; empty if one with the same id is in flight
      * @throws UnroutableQueryException if its slices can't be resolved; the query is not added then
+     * @throws ReusedRequestIdException if attempts were made for an earlier query with this id; the
+     *     query is not added then
      */
     public Optional<InFlightQuery> accept(ClientRequest request, Duration age)
-            throws UnroutableQueryException {
+            throws UnroutableQueryException, ReusedRequestIdException {
         // Decoding a cursor is slow, so it is done without the lock.
         PagedQuery page = request.pageRequest() == null ? null : startPage(request);
         lock.lock();
@@ -141,6 +144,9 @@
             if (queries.containsId(request.id())) {
                 return Optional.empty();
             }
+            if (queries.wasAttempted(request.id())) {
+                throw new ReusedRequestIdException();
+            }
             Duration now = clock.now();
             InFlightQuery inFlight = queryFactory.create(request, now, age, page);
             startQuery(inFlight, now);
--- a/src/main/java/postbeam/router/QueryTable.java
+++ b/src/main/java/postbeam/router/QueryTable.java
@@ -14,6 +14,9 @@
 
     private final IdentityHashMap<Query, InFlightQuery> byQuery = new IdentityHashMap<>();
 
+    /** Ids of ended queries for which attempts were made. */
+    private final RecentIds attemptedIds = new RecentIds();
+
     void add(InFlightQuery query) {
         byId.put(query.request().id(), query);
         byQuery.put(query.query(), query);
@@ -24,6 +27,14 @@
         return byId.containsKey(id);
     }
 
+    /**
+     * Whether attempts were made for an ended query with this id, so that data nodes may still work
+     * on them or may have executed them.
+     */
+    boolean wasAttempted(String id) {
+        return attemptedIds.contains(id);
+    }
+
     boolean contains(Query query) {
         return byQuery.containsKey(query);
     }
@@ -54,6 +65,9 @@
     void finish(InFlightQuery query, QueryAction finalAction) {
         if (byQuery.remove(query.query()) != null) {
             byId.remove(query.request().id());
+            if (query.hasAttempts()) {
+                attemptedIds.add(query.request().id());
+            }
             query.abandonAttempts();
             query.addAction(finalAction);
         }
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -25,6 +25,7 @@
 import postbeam.discovery.LongPollWatcher;
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.PendingQuery;
+import postbeam.dispatch.ReusedRequestIdException;
 import postbeam.endpoints.EndpointUpdate;
 import postbeam.endpoints.PollTimings;
 import postbeam.layoutservice.LayoutWatch;
@@ -373,7 +374,7 @@
 
     @Override
     public PendingQuery submit(ClientRequest request, Duration age)
-            throws UnroutableQueryException {
+            throws UnroutableQueryException, ReusedRequestIdException {
         return executor.accept(request, age)
                 .map(query -> new ServedQuery(executor, query, actionRunner))
                 .orElse(null);
