Clients: a disconnect behind unread bytes is seen in time

Cause: a close is at the end of the input, and beyond 1 MiB input was discarded at 3 MB/s at most, also by the checks just before a query is submitted or an attempt is written; nothing read counted as connected. Told apart from a close lost between threads: with nothing behind the request no attempt began late.

Change: while a query is served, input is read without pace up to 256 KiB, more than a further request has. Who sends more gets 400 and the query is cancelled. Pacing is left for what comes after a close.

--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -38,8 +38,15 @@
     private static final int DRAIN_CHUNK_BYTES = 32 << 10;
 
     /**
-     * Bytes discarded without a pause. Further reads are paced, so that a client that sends without
-     * end does not use up the I/O thread's core.
+     * Bytes that may arrive between a request and its response: more than a further request has,
+     * although clients send one at a time. They are read without a pause, as the end of the input,
+     * which tells that the client has disconnected, comes after them.
+     */
+    private static final int MAX_PIPELINED_BYTES = 256 << 10;
+
+    /**
+     * Bytes discarded without a pause after a close. Further reads are paced, so that a client that
+     * sends without end does not use up the I/O thread's core.
      */
     private static final int UNPACED_DRAIN_BYTES = 1 << 20;
 
@@ -55,6 +62,19 @@
      */
     private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(DRAIN_CHUNK_BYTES);
 
+    /** What a check of the connection found while a query is served. */
+    enum ClientStatus {
+        /** The client is connected, as far as its input tells. */
+        CONNECTED,
+        /** The client has closed or reset the connection. */
+        DISCONNECTED,
+        /**
+         * The client has sent more than it may before it gets the response. A disconnect behind
+         * these bytes can't be noticed in time.
+         */
+        FLOODING
+    }
+
     private final StreamConnection socket;
     private final RequestMemory.Reservation requestMemory;
     private final StreamSourceConduit input;
@@ -68,9 +88,6 @@
     /** Whether bytes were received, and discarded, between a request and its response. */
     private boolean pipelined;
 
-    /** Whether a query is being served, during which the socket is read to detect a disconnect. */
-    private boolean watched;
-
     private long idleSinceNanos = System.nanoTime();
 
     /** Whether the last check found the connection idle; the next one closes it. */
@@ -160,9 +177,9 @@
         return pipelined;
     }
 
-    /** Sets whether a query is being served, during which input is read and discarded. */
-    void setWatched(boolean watched) {
-        this.watched = watched;
+    /** Returns whether the connection was closed; it may linger. */
+    boolean isClosing() {
+        return closing;
     }
 
     // ---- closing
@@ -257,28 +274,32 @@
 
     // ---- discarding input
 
-    /**
-     * Reads and discards the available input, and returns whether the client has closed or reset
-     * the connection.
-     */
-    boolean isDisconnected() {
+    /** Reads and discards input while a query is served, up to what may arrive meanwhile. */
+    ClientStatus checkClient() {
         try {
             int count = 1;
-            while (count > 0) {
-                count = drain();
+            while (count > 0 && drainedBytes <= MAX_PIPELINED_BYTES) {
+                count = readAndDiscard();
+            }
+            if (count < 0) {
+                return ClientStatus.DISCONNECTED;
             }
-            return count < 0;
         } catch (IOException e) {
             // The connection was reset or is already closed.
-            return true;
+            return ClientStatus.DISCONNECTED;
         }
+        return drainedBytes > MAX_PIPELINED_BYTES ? ClientStatus.FLOODING : ClientStatus.CONNECTED;
     }
 
-    /** Reads and discards input; returns the number of bytes, or -1 at the end of the input. */
+    /**
+     * Reads and discards input after a close, paced beyond a limit; returns the number of bytes, or
+     * -1 at the end of the input.
+     */
     private int drain() throws IOException {
-        if (drainedBytes > UNPACED_DRAIN_BYTES && !isNextDrainDue()) {
-            return 0;
-        }
+        return drainedBytes > UNPACED_DRAIN_BYTES && !isNextDrainDue() ? 0 : readAndDiscard();
+    }
+
+    private int readAndDiscard() throws IOException {
         int count = input.read(DISCARD_BUFFER.clear());
         drainedBytes += Math.max(0, count);
         pipelined |= count > 0;
@@ -299,7 +320,7 @@
     }
 
     private void resumeDraining() {
-        if (socket.isOpen() && (watched || closing)) {
+        if (socket.isOpen()) {
             input.resumeReads();
         }
     }
--- a/src/main/java/postbeam/clients/QueryExchange.java
+++ b/src/main/java/postbeam/clients/QueryExchange.java
@@ -31,6 +31,9 @@
     private final long receivedAtNanos;
     private final ClientConnection client;
 
+    /** Whether the query has its result or was cancelled. Used only on the I/O thread. */
+    private boolean ended;
+
     /**
      * Creates the exchange of one query.
      *
@@ -55,10 +58,11 @@
             ResponseWriter.sendText(exchange, 400, RequestDispatcher.firstLine(e.getMessage()));
             return;
         }
-        if (client.isDisconnected()) {
-            // The client disconnected before the router, being late, read the request. No attempt
-            // may be started for it.
-            client.closeImmediately();
+        ClientConnection.ClientStatus status = client.checkClient();
+        if (status != ClientConnection.ClientStatus.CONNECTED) {
+            // No attempt may be started for a client that disconnected before the router, being
+            // late, read the request.
+            closeConnection(status);
             exchange.endExchange();
             return;
         }
@@ -111,12 +115,7 @@
 
     private void startServing(PendingQuery query) {
         context.connections().trackRequest(exchange);
-        query.setClientCheck(
-                () -> {
-                    if (client.isDisconnected()) {
-                        abandon(query);
-                    }
-                });
+        query.setClientCheck(() -> checkClient(query));
         // Runs after the current event, during which Undertow itself changes the read listener and
         // suspends reads, and before the end of the query, which is dispatched to the same queue.
         context.ioThread().execute(() -> watchForDisconnect(query));
@@ -125,10 +124,29 @@
 
     // ---- while it is served
 
-    /** Closes the connection and cancels the query, as the client has disconnected. */
-    private void abandon(PendingQuery query) {
-        client.closeImmediately();
-        query.clientDisconnected();
+    /**
+     * Cancels the query and closes its connection if the client has disconnected, or if it sends so
+     * much that a disconnect would be noticed late.
+     */
+    private void checkClient(PendingQuery query) {
+        if (ended) {
+            return;
+        }
+        ClientConnection.ClientStatus status = client.checkClient();
+        if (status != ClientConnection.ClientStatus.CONNECTED) {
+            ended = true;
+            connection().getOriginalSourceConduit().suspendReads();
+            closeConnection(status);
+            query.clientDisconnected();
+        }
+    }
+
+    private void closeConnection(ClientConnection.ClientStatus status) {
+        if (status == ClientConnection.ClientStatus.FLOODING) {
+            client.rejectAndClose(400, "too many bytes follow the request");
+        } else {
+            client.closeImmediately();
+        }
     }
 
     private void watchForDisconnect(PendingQuery query) {
@@ -143,17 +161,7 @@
         // Reads the socket directly: the channel of the HTTP library ends with the request body
         // and does not report a later disconnect.
         StreamSourceConduit socket = connection.getOriginalSourceConduit();
-        client.setWatched(true);
-        connection
-                .getChannel()
-                .getSourceChannel()
-                .setReadListener(
-                        channel -> {
-                            if (client.isDisconnected()) {
-                                socket.suspendReads();
-                                abandon(query);
-                            }
-                        });
+        connection.getChannel().getSourceChannel().setReadListener(channel -> checkClient(query));
         socket.resumeReads();
     }
 
@@ -181,10 +189,14 @@
     // ---- responding
 
     private void finish(QueryAction result) {
-        connection().getOriginalSourceConduit().suspendReads();
-        client.setWatched(false);
+        if (!client.isClosing()) {
+            connection().getOriginalSourceConduit().suspendReads();
+        }
+        ended = true;
         if (result instanceof QueryAction.ClientDisconnected || !connection().isOpen()) {
-            client.closeImmediately();
+            if (!client.isClosing()) {
+                client.closeImmediately();
+            }
             exchange.endExchange();
             return;
         }
--- /dev/null
+++ b/src/test/java/postbeam/clients/ClientDisconnectTest.java
@@ -0,0 +1,183 @@
+package postbeam.clients;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import postbeam.dispatch.ClientRequest;
+import postbeam.dispatch.PendingQuery;
+import postbeam.dispatch.QueryAction;
+
+/** Clients that disconnect, or that send more while their query is served. */
+@Timeout(30)
+class ClientDisconnectTest {
+    /** By the rules no attempt begins later than this after a disconnect. */
+    private static final long MAX_NOTICE_MILLIS = 100;
+
+    private static final byte[] VALUE = {'v'};
+    private static final byte[] UNREAD_BYTES = new byte[3 << 20];
+
+    /** A query that is served until the test ends it or its client disconnects. */
+    private static final class OpenQuery implements PendingQuery {
+        private final BlockingQueue<QueryAction> result = new LinkedBlockingQueue<>();
+        private final CountDownLatch cancelled = new CountDownLatch(1);
+
+        @Override
+        public QueryAction serve() throws InterruptedException {
+            return result.take();
+        }
+
+        @Override
+        public void clientDisconnected() {
+            cancelled.countDown();
+            result.add(new QueryAction.ClientDisconnected());
+        }
+
+        @Override
+        public void setClientCheck(Runnable check) {}
+
+        void answer() {
+            result.add(
+                    new QueryAction.Answer(
+                            true, List.of(new QueryAction.ShardValue(0, VALUE, null)), 0));
+        }
+    }
+
+    private final BlockingQueue<OpenQuery> submitted = new LinkedBlockingQueue<>();
+    private XnioWorker worker;
+    private QueryServer server;
+    private Socket client;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        server =
+                new QueryServer(
+                        worker,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        new QueryServer.QueryHandler() {
+                            @Override
+                            public PendingQuery submit(ClientRequest request, Duration age) {
+                                OpenQuery query = new OpenQuery();
+                                submitted.add(query);
+                                return query;
+                            }
+
+                            @Override
+                            public boolean isReady() {
+                                return true;
+                            }
+                        },
+                        Collections.singletonMap("search", Duration.ofSeconds(3)),
+                        Set.of(),
+                        1,
+                        new ClientLimits(8, 1 << 20));
+        server.start();
+        client =
+                new Socket(
+                        InetAddress.getLoopbackAddress(),
+                        Integer.parseInt(server.address().replaceAll(".*:", "")));
+        client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(10));
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        client.close();
+        server.stop();
+        worker.shutdownNow();
+    }
+
+    private static byte[] query(String id) {
+        String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"x\"}";
+        return ("POST /search HTTP/1.1\r\nHost: b\r\nReq-Id: "
+                        + id
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body)
+                .getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private OpenQuery awaitSubmitted() throws InterruptedException {
+        OpenQuery query = submitted.poll(10, TimeUnit.SECONDS);
+        assertTrue(query != null, "the query was not submitted");
+        return query;
+    }
+
+    private String readStatus() throws IOException {
+        return new String(client.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+    }
+
+    /** Guards against attempts that begin after a disconnect behind bytes that are unread. */
+    @Test
+    void queryIsCancelledInTimeIfItsClientDisconnectsBehindManyBytes() throws Exception {
+        client.getOutputStream().write(query("q"));
+        OpenQuery query = awaitSubmitted();
+        client.getOutputStream().write(UNREAD_BYTES);
+        client.close();
+        assertTrue(query.cancelled.await(MAX_NOTICE_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    /** Guards against queries of clients that disconnected before the router read the request. */
+    @Test
+    void queryIsNotSubmittedIfItsClientDisconnectedBehindManyBytes() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        worker.getIoThread()
+                .execute(
+                        () -> {
+                            try {
+                                release.await();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        client.setSendBufferSize(2 * UNREAD_BYTES.length);
+        client.getOutputStream().write(query("q"));
+        client.getOutputStream().write(UNREAD_BYTES, 0, UNREAD_BYTES.length / 2);
+        client.close();
+        release.countDown();
+        assertNull(submitted.poll(500, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void floodingClientGetsAnErrorAndIsDisconnected() throws Exception {
+        client.getOutputStream().write(query("q"));
+        OpenQuery query = awaitSubmitted();
+        client.getOutputStream().write(UNREAD_BYTES);
+        assertEquals("HTTP/1.1 400", readStatus());
+        assertTrue(query.cancelled.await(MAX_NOTICE_MILLIS, TimeUnit.MILLISECONDS));
+        client.getInputStream().readAllBytes();
+    }
+
+    @Test
+    void queryIsAnsweredIfAnotherLargeRequestFollowsIt() throws Exception {
+        client.getOutputStream().write(query("q"));
+        OpenQuery query = awaitSubmitted();
+        client.getOutputStream().write(new byte[(64 + 8) << 10]);
+        Thread.sleep(MAX_NOTICE_MILLIS);
+        query.answer();
+        assertEquals("HTTP/1.1 200", readStatus());
+        assertEquals(1, query.cancelled.getCount());
+    }
+}
