Clients: ways out of a request that kept bytes or memory

Cause: a query that is refused after bytes behind it were discarded left its connection open, so that the rest of a further request was read as a request of its own. And a body that was read on in the very event of its connection's close could reserve memory that nothing gives back, or write a second error.

Change: such a refusal ends the connection, as answers did; a closed connection reserves nothing, and rejectAndClose does nothing on it.

--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -194,10 +194,13 @@
     }
 
     /**
-     * Sends an error response and closes. Bypasses the HTTP library, which would wait for the rest
-     * of the request.
+     * Sends an error response and closes; does nothing if the connection was closed before.
+     * Bypasses the HTTP library, which would wait for the rest of the request.
      */
     void rejectAndClose(int status, String reason) {
+        if (closing) {
+            return;
+        }
         String response =
                 "HTTP/1.1 "
                         + status
@@ -228,7 +231,7 @@
     @Override
     protected void closeAction() {
         closing = true;
-        requestMemory.release();
+        requestMemory.close();
         getIoThread().execute(this::linger);
     }
 
--- a/src/main/java/postbeam/clients/QueryExchange.java
+++ b/src/main/java/postbeam/clients/QueryExchange.java
@@ -66,6 +66,10 @@
             exchange.endExchange();
             return;
         }
+        if (client.hasPipelined()) {
+            // The rest of a request whose beginning was discarded must not be read as a request.
+            exchange.setPersistent(false);
+        }
         if (context.lifecycle().isDraining()) {
             // Queries that are open when the process ends would be lost.
             request = request.withTimeoutAtMost(context.lifecycle().drainTimeLeft(receivedAtNanos));
--- a/src/main/java/postbeam/clients/RequestMemory.java
+++ b/src/main/java/postbeam/clients/RequestMemory.java
@@ -25,13 +25,18 @@
     /** What one connection holds; initially nothing. */
     final class Reservation {
         private long heldBytes;
+        private boolean closed;
 
         /**
          * Sets the number of bytes that the connection holds.
          *
-         * @return false if the shared budget does not allow it; nothing changes then
+         * @return false if the shared budget does not allow it or the connection is closed; nothing
+         *     changes then
          */
         boolean resize(long bytes) {
+            if (closed) {
+                return false;
+            }
             long sharedChange = sharedPart(bytes) - sharedPart(heldBytes);
             if (sharedChange > sharedBytesLeft) {
                 return false;
@@ -46,6 +51,12 @@
             resize(0);
         }
 
+        /** Gives back what the connection holds, as it closes; nothing can be reserved after it. */
+        void close() {
+            release();
+            closed = true;
+        }
+
         private static long sharedPart(long bytes) {
             return Math.max(0, bytes - GUARANTEED_BYTES);
         }
--- a/src/test/java/postbeam/clients/ClientDisconnectTest.java
+++ b/src/test/java/postbeam/clients/ClientDisconnectTest.java
@@ -35,6 +35,9 @@
     /** By the rules no attempt begins later than this after a disconnect. */
     private static final long MAX_NOTICE_MILLIS = 100;
 
+    /** Id of a query that is refused as one of the same id is open. */
+    private static final String REFUSED_ID = "refused";
+
     private static final byte[] VALUE = {'v'};
     private static final byte[] UNREAD_BYTES = new byte[3 << 20];
 
@@ -79,6 +82,9 @@
                         new QueryServer.QueryHandler() {
                             @Override
                             public PendingQuery submit(ClientRequest request, Duration age) {
+                                if (request.id().equals(REFUSED_ID)) {
+                                    return null;
+                                }
                                 OpenQuery query = new OpenQuery();
                                 submitted.add(query);
                                 return query;
@@ -180,4 +186,15 @@
         assertEquals("HTTP/1.1 200", readStatus());
         assertEquals(1, query.cancelled.getCount());
     }
+
+    /** Guards against the rest of a request that is read as one, its beginning being discarded. */
+    @Test
+    void refusedQueryEndsItsConnectionIfBytesBehindItWereDiscarded() throws Exception {
+        client.getOutputStream().write(query(REFUSED_ID));
+        client.getOutputStream().write(new byte[20 << 10]);
+        String responses =
+                new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertTrue(responses.startsWith("HTTP/1.1 400"), responses);
+        assertEquals(0, responses.lastIndexOf("HTTP/1.1"), responses);
+    }
 }
--- a/src/test/java/postbeam/clients/RequestMemoryTest.java
+++ b/src/test/java/postbeam/clients/RequestMemoryTest.java
@@ -53,6 +53,16 @@
         assertTrue(memory.new Reservation().resize(GUARANTEED + 4_000));
     }
 
+    /** Guards against memory that is reserved after the close, which nothing would give back. */
+    @Test
+    void closedReservationHoldsNothing() {
+        RequestMemory.Reservation closed = memory.new Reservation();
+        assertTrue(closed.resize(GUARANTEED + 10_000));
+        closed.close();
+        assertFalse(closed.resize(1));
+        assertTrue(memory.new Reservation().resize(GUARANTEED + 10_000));
+    }
+
     @Test
     void bodyOfAnySizeIsReadUnchanged() throws IOException {
         Random random = new Random(1);
