Tests: the fake discovery refuses connections before the test goes on

Cause: the fixture, not the watcher. A listening socket that is closed while a thread is accepting may take one more connection; the log has a timeout of an accepted connection as the first failure where a refusal was due. The request on it was left over, and the test answered it in place of the one after the reopening.

Change: refuseConnections joins the accepting thread. What the test asks is the same.

--- a/src/test/java/postbeam/discovery/FakeDiscoveryAgent.java
+++ b/src/test/java/postbeam/discovery/FakeDiscoveryAgent.java
@@ -70,6 +70,7 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final int port;
     private ServerSocket server;
+    private Thread acceptThread;
 
     FakeDiscoveryAgent() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -109,9 +110,13 @@
         return request;
     }
 
-    /** Closes the listening socket, so that connections are refused. */
-    void refuseConnections() throws IOException {
+    /**
+     * Closes the listening socket, and returns once connections are refused: while a thread is
+     * still accepting, the closed socket may take one more.
+     */
+    void refuseConnections() throws IOException, InterruptedException {
         server.close();
+        acceptThread.join();
     }
 
     void acceptConnections() throws IOException {
@@ -130,14 +135,15 @@
     }
 
     private void startAccepting(ServerSocket listener) {
-        startDaemonThread(
-                () -> {
-                    while (true) {
-                        Socket socket = listener.accept();
-                        sockets.add(socket);
-                        startDaemonThread(() -> read(socket));
-                    }
-                });
+        acceptThread =
+                startDaemonThread(
+                        () -> {
+                            while (true) {
+                                Socket socket = listener.accept();
+                                sockets.add(socket);
+                                startDaemonThread(() -> read(socket));
+                            }
+                        });
     }
 
     private void read(Socket socket) throws IOException {
