Clients: the error for a malformed chunk is sent again

Cause: rejectAndClose did nothing on a closed connection, and the HTTP library has closed the connection by the time it reports the chunk.

Change: only a second error response is left out.

--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -82,6 +82,9 @@
     private XnioExecutor.Key lingerTimer;
     private boolean closing;
 
+    /** Whether an error response was sent outside the HTTP library. */
+    private boolean rejected;
+
     private int drainedBytes;
     private long nextDrainAtNanos = System.nanoTime();
 
@@ -194,13 +197,15 @@
     }
 
     /**
-     * Sends an error response and closes; does nothing if the connection was closed before.
-     * Bypasses the HTTP library, which would wait for the rest of the request.
+     * Sends an error response and closes; only the first call has an effect. Bypasses the HTTP
+     * library, which would wait for the rest of the request, and which may have closed this
+     * connection already, as it does for malformed chunks.
      */
     void rejectAndClose(int status, String reason) {
-        if (closing) {
+        if (rejected) {
             return;
         }
+        rejected = true;
         String response =
                 "HTTP/1.1 "
                         + status
--- a/src/test/java/postbeam/clients/ClientDisconnectTest.java
+++ b/src/test/java/postbeam/clients/ClientDisconnectTest.java
@@ -131,6 +131,21 @@
         return query;
     }
 
+    /** Keeps the I/O thread from reading until the returned latch is released. */
+    private CountDownLatch blockIoThread() {
+        CountDownLatch release = new CountDownLatch(1);
+        worker.getIoThread()
+                .execute(
+                        () -> {
+                            try {
+                                release.await();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        return release;
+    }
+
     private String readStatus() throws IOException {
         return new String(client.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
     }
@@ -148,16 +163,7 @@
     /** Guards against queries of clients that disconnected before the router read the request. */
     @Test
     void queryIsNotSubmittedIfItsClientDisconnectedBehindManyBytes() throws Exception {
-        CountDownLatch release = new CountDownLatch(1);
-        worker.getIoThread()
-                .execute(
-                        () -> {
-                            try {
-                                release.await();
-                            } catch (InterruptedException e) {
-                                Thread.currentThread().interrupt();
-                            }
-                        });
+        CountDownLatch release = blockIoThread();
         client.setSendBufferSize(2 * UNREAD_BYTES.length);
         client.getOutputStream().write(query("q"));
         client.getOutputStream().write(UNREAD_BYTES, 0, UNREAD_BYTES.length / 2);
@@ -190,8 +196,10 @@
     /** Guards against the rest of a request that is read as one, its beginning being discarded. */
     @Test
     void refusedQueryEndsItsConnectionIfBytesBehindItWereDiscarded() throws Exception {
+        CountDownLatch release = blockIoThread();
         client.getOutputStream().write(query(REFUSED_ID));
         client.getOutputStream().write(new byte[20 << 10]);
+        release.countDown();
         String responses =
                 new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         assertTrue(responses.startsWith("HTTP/1.1 400"), responses);
