Discovery: lists of fleets with 3,200 data nodes are read

What callers saw: in a fleet of 3,200 data nodes no change of the list was ever learned.

Cause: the limit of 256 KiB for a list, some 2,200 entries. Evidence: the log names the limit; with 200 nodes the drain is kept; the new test failed before ("2252858 bytes, expected 6400 but was 0") and holds now.

Change: the limit follows from the largest fleet (3,200 nodes, a draining node beside each, 640 bytes an entry). With the limit alone a router of memory_mb 64 ran out of heap at the fourth whole list, so the body is kept in chunks, entries are decoded one by one, and `known` is neither kept as paths nor beyond the start.

--- a/src/main/java/postbeam/config/RouterConfig.java
+++ b/src/main/java/postbeam/config/RouterConfig.java
@@ -22,6 +22,7 @@
                     "discovery", "BALANCER_DISCOVERY");
 
     private static final String MEMORY_MB = "memory_mb";
+    private static final String ENDPOINT_LIST = "known";
 
     /** Limits that apply if the file sets none: a number of file descriptors, and memory in MB. */
     private static final Map<String, Integer> DEFAULT_LIMITS =
@@ -34,18 +35,23 @@
     private static final int MAX_PORT = 65_535;
     private static final int SEED_RADIX = 16;
 
-    /** All members of the configuration by path, those of {@code settings} included. */
+    /**
+     * All members of the configuration by path, those of {@code settings} included, but without the
+     * endpoint list: as paths, a list of thousands of nodes takes several megabytes.
+     */
     public final InstanceSettings members;
 
     /** The member {@code settings}, by the paths of the simulator's protocol. */
     public final InstanceSettings settings;
 
-    private final Map<String, Object> document;
+    /** Null if the configuration has no endpoint list. */
+    private final Map<String, Object> endpointList;
 
-    private RouterConfig(Map<String, Object> document, Map<String, Object> settings) {
-        this.document = document;
-        this.members = new InstanceSettings(document, "");
-        this.settings = new InstanceSettings(settings, "settings.");
+    private RouterConfig(
+            InstanceSettings members, InstanceSettings settings, Map<String, Object> endpointList) {
+        this.members = members;
+        this.settings = settings;
+        this.endpointList = endpointList;
     }
 
     /**
@@ -83,7 +89,12 @@
                         document.putIfAbsent(member, value);
                     }
                 });
-        return new RouterConfig(document, asObject(Json.member(document, "settings", Map.class)));
+        Map<String, Object> settings = asObject(Json.member(document, "settings", Map.class));
+        Object endpointList = document.remove(ENDPOINT_LIST);
+        return new RouterConfig(
+                new InstanceSettings(document, ""),
+                new InstanceSettings(settings, "settings."),
+                endpointList instanceof Map<?, ?> list ? asObject(list) : null);
     }
 
     @SuppressWarnings("unchecked") // The names of a JSON object's members are strings.
@@ -116,9 +127,15 @@
      * has none.
      */
     public Optional<Map<String, Object>> initialEndpointList() {
-        return document.get("known") instanceof Map<?, ?> list
-                ? Optional.of(asObject(list))
-                : Optional.empty();
+        return Optional.ofNullable(endpointList);
+    }
+
+    /**
+     * Returns this configuration without the endpoint list, which is only used at startup and would
+     * otherwise stay in memory.
+     */
+    public RouterConfig withoutEndpointList() {
+        return new RouterConfig(members, settings, null);
     }
 
     /** Returns a member that must have the form HOST:PORT. */
--- a/src/main/java/postbeam/discovery/DeadlineInput.java
+++ b/src/main/java/postbeam/discovery/DeadlineInput.java
@@ -16,13 +16,14 @@
  * they arrived. After a deadline a limited number of reads is allowed, each of which may wait 1 ms.
  */
 final class DeadlineInput {
-    private static final int BUFFER_BYTES = 4 << 10;
+    /** Few reads are needed for the longest body, as each late read may take 1 ms. */
+    private static final int BUFFER_BYTES = 64 << 10;
 
     /**
      * Number of reads allowed after a deadline for the head, the parts and the end of a response.
      * One more is allowed for each buffer that the longest body fills. A response that trickles in
      * faster than one read per millisecond times out late by the duration of these reads: 70 ms for
-     * 256 KiB.
+     * 4 MiB.
      */
     private static final int MIN_LATE_READS = 6;
 
--- a/src/main/java/postbeam/discovery/EndpointListCodec.java
+++ b/src/main/java/postbeam/discovery/EndpointListCodec.java
@@ -1,6 +1,7 @@
 package postbeam.discovery;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,19 +26,51 @@
 
     private static final int MICROS_PER_MILLI = 1000;
 
+    private static final String HOSTS = "hosts";
+
     private EndpointListCodec() {}
 
+    /**
+     * Decodes a complete list or changes, one endpoint after the other.
+     *
+     * @param body the response body, which is closed
+     * @param cells number of cells; endpoints name them from 0
+     * @throws IOException if a member is missing or invalid; the message names the member
+     */
+    static EndpointUpdate decode(InputStream body, int cells) throws IOException {
+        Endpoints endpoints = new Endpoints(cells);
+        Map<String, Object> list = Json.parseObject(body, HOSTS, endpoints::add);
+        // Fails if the member is missing or not a list; the elements were decoded above.
+        Json.member(list, HOSTS, List.class);
+        return endpoints.toUpdate(list);
+    }
+
     /**
      * Decodes a complete list or changes.
      *
-     * @param list the response body
+     * @param list the JSON object
      * @param cells number of cells; endpoints name them from 0
      * @throws IOException if a member is missing or invalid; the message names the member
      */
     public static EndpointUpdate decode(Map<String, Object> list, int cells) throws IOException {
-        List<Endpoint> endpoints = new ArrayList<>();
-        Map<String, String> addresses = new LinkedHashMap<>();
-        for (Object host : Json.member(list, "hosts", List.class)) {
+        Endpoints endpoints = new Endpoints(cells);
+        for (Object host : Json.member(list, HOSTS, List.class)) {
+            endpoints.add(host);
+        }
+        return endpoints.toUpdate(list);
+    }
+
+    /** The endpoints that were decoded so far. */
+    private static final class Endpoints {
+        private final int cells;
+        private final List<Endpoint> endpoints = new ArrayList<>();
+        private final Map<String, String> addresses = new LinkedHashMap<>();
+
+        Endpoints(int cells) {
+            this.cells = cells;
+        }
+
+        void add(Object host) throws IOException {
             if (!(host instanceof Map<?, ?> members)) {
                 throw new MalformedJsonException(
                         "hosts must contain only objects, but element "
@@ -51,9 +84,12 @@
             }
             endpoints.add(endpoint);
         }
-        long version = Json.member(list, "seq", Number.class).longValue();
-        boolean complete = Json.member(list, "whole", Boolean.class);
-        return new EndpointUpdate(version, complete, endpoints, addresses);
+
+        EndpointUpdate toUpdate(Map<String, Object> list) throws MalformedJsonException {
+            long version = Json.member(list, "seq", Number.class).longValue();
+            boolean complete = Json.member(list, "whole", Boolean.class);
+            return new EndpointUpdate(version, complete, endpoints, addresses);
+        }
     }
 
     private static Endpoint decodeEndpoint(Map<?, ?> host, int cells)
--- a/src/main/java/postbeam/discovery/EndpointListWatch.java
+++ b/src/main/java/postbeam/discovery/EndpointListWatch.java
@@ -3,17 +3,18 @@
 import java.util.function.Consumer;
 import postbeam.endpoints.EndpointUpdate;
 import postbeam.endpoints.PollTimings;
-import postbeam.json.Json;
 
 /** Creates watchers of the endpoint list of the data nodes. */
 public final class EndpointListWatch {
     private static final String PATH = "/v1/servers";
 
-    /**
-     * Four times the protocol's limit for a body, as a list may be indented and may include
-     * draining nodes.
-     */
-    private static final int MAX_LIST_BYTES = 256 << 10;
+    /** Number of nodes of the largest fleet, each with a draining node that it replaces. */
+    private static final int MAX_ENDPOINTS = 2 * 3_200;
+
+    /** Indented entries with long names, addresses, shares and start times take 350 bytes. */
+    private static final int MAX_ENDPOINT_BYTES = 640;
+
+    private static final int MAX_LIST_BYTES = MAX_ENDPOINTS * MAX_ENDPOINT_BYTES;
 
     private EndpointListWatch() {}
 
@@ -43,7 +44,7 @@
             Runnable onPollDone) {
         return new LongPollWatcher<>(
                 new LongPollWatcher.Source("discovery", address, PATH, MAX_LIST_BYTES),
-                body -> EndpointListCodec.decode(Json.parseObject(body), cells),
+                body -> EndpointListCodec.decode(body, cells),
                 EndpointUpdate::version,
                 onUpdate,
                 timings,
--- a/src/main/java/postbeam/discovery/HttpGetClient.java
+++ b/src/main/java/postbeam/discovery/HttpGetClient.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Proxy;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -58,7 +59,7 @@
      * @throws IOException if no response with status 200 arrives within the limits; the message
      *     states the reason
      */
-    byte[] get(String path, int maxBytes, Timeouts timeouts) throws IOException {
+    InputStream get(String path, int maxBytes, Timeouts timeouts) throws IOException {
         input.begin(timeouts.total(), maxBytes);
         boolean reusable = false;
         try {
@@ -77,7 +78,7 @@
             }
             input.setTimeout(timeouts.remainder());
             HttpResponseReader reader = new HttpResponseReader(input, maxBytes);
-            byte[] body = reader.read();
+            InputStream body = reader.read();
             reusable = reader.isConnectionReusable();
             return body;
         } catch (SocketTimeoutException e) {
--- a/src/main/java/postbeam/discovery/HttpResponseReader.java
+++ b/src/main/java/postbeam/discovery/HttpResponseReader.java
@@ -1,8 +1,8 @@
 package postbeam.discovery;
 
-import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.Locale;
 
 /** Reads one HTTP/1.1 response and limits the size of its head and body. */
@@ -18,7 +18,7 @@
 
     private final DeadlineInput input;
     private final int maxBodyBytes;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body = new ResponseBody();
     private long contentLength = UNKNOWN_LENGTH;
     private boolean chunked;
     private boolean keepAlive = true;
@@ -35,7 +35,7 @@
      * @throws IOException if the status is not 200, or the response is incomplete, malformed or too
      *     long
      */
-    byte[] read() throws IOException {
+    InputStream read() throws IOException {
         readStatus();
         readHeaders();
         if (chunked) {
@@ -45,7 +45,7 @@
         } else {
             readUntilClosed();
         }
-        return body.toByteArray();
+        return body.toInputStream();
     }
 
     /** Returns whether the connection can be reused after the response was read completely. */
@@ -122,7 +122,12 @@
 
     private void readBody(long length) throws IOException {
         if (length > maxBodyBytes - body.size()) {
-            throw new IOException("response body is longer than " + maxBodyBytes + " bytes");
+            throw new IOException(
+                    "response body has "
+                            + (body.size() + length)
+                            + (chunked ? " bytes or more" : " bytes")
+                            + ", the limit is "
+                            + maxBodyBytes);
         }
         input.copyTo(body, (int) length);
     }
--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -1,6 +1,7 @@
 package postbeam.discovery;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.time.Duration;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -27,11 +28,11 @@
      */
     public interface Decoder<T> {
         /**
-         * Decodes a body.
+         * Decodes a body. The body is in memory, so that reading it never waits.
          *
          * @throws IOException if the body is invalid; the message states the reason
          */
-        T decode(byte[] body) throws IOException;
+        T decode(InputStream body) throws IOException;
     }
 
     /**
--- a/src/main/java/postbeam/json/Json.java
+++ b/src/main/java/postbeam/json/Json.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.nio.charset.CharacterCodingException;
@@ -41,10 +42,13 @@
      * guess other encodings. A parser of malformed UTF-8 throws {@link CharacterCodingException}.
      */
     public static JsonParser createParser(byte[] bytes) throws IOException {
+        return createParser(new ByteArrayInputStream(bytes));
+    }
+
+    private static JsonParser createParser(InputStream bytes) throws IOException {
         // Unlike a reader that is given the charset, one with a decoder rejects malformed input.
         return FACTORY.createParser(
-                new InputStreamReader(
-                        new ByteArrayInputStream(bytes), StandardCharsets.UTF_8.newDecoder()));
+                new InputStreamReader(bytes, StandardCharsets.UTF_8.newDecoder()));
     }
 
     /**
@@ -53,11 +57,46 @@
      * @throws IOException if it is malformed or not an object; the message says why
      */
     public static Map<String, Object> parseObject(byte[] bytes) throws IOException {
+        return parseObject(new ByteArrayInputStream(bytes));
+    }
+
+    /**
+     * Parses a document that consists of one object, and closes the stream.
+     *
+     * @throws IOException if it is malformed or not an object; the message says why
+     */
+    public static Map<String, Object> parseObject(InputStream bytes) throws IOException {
+        return parseObject(bytes, JsonTreeReader::readObject);
+    }
+
+    /**
+     * Parses a document that consists of one object, and closes the stream. The elements of one of
+     * its lists are passed on one by one, so that a long list is never in memory as a tree.
+     *
+     * @param listName name of the object's member whose elements are passed on; the list is empty
+     *     in the returned object
+     * @param elements receives each element of the list, in order
+     * @throws IOException if the document is malformed or not an object, or an element is rejected;
+     *     the message says why
+     */
+    public static Map<String, Object> parseObject(
+            InputStream bytes, String listName, JsonTreeReader.ElementConsumer elements)
+            throws IOException {
+        return parseObject(bytes, reader -> reader.readObject(listName, elements));
+    }
+
+    /** Reads the rest of an object whose start has been read. */
+    private interface ObjectReader {
+        Map<String, Object> read(JsonTreeReader reader) throws IOException;
+    }
+
+    private static Map<String, Object> parseObject(InputStream bytes, ObjectReader objectReader)
+            throws IOException {
         try (JsonParser parser = createParser(bytes)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new MalformedJsonException("not a JSON object");
             }
-            Map<String, Object> object = new JsonTreeReader(parser).readObject();
+            Map<String, Object> object = objectReader.read(new JsonTreeReader(parser));
             if (parser.nextToken() != null) {
                 throw new MalformedJsonException("something follows the JSON object");
             }
--- a/src/main/java/postbeam/json/JsonTreeReader.java
+++ b/src/main/java/postbeam/json/JsonTreeReader.java
@@ -25,6 +25,16 @@
         void valueAt(String pointer, int line);
     }
 
+    /** Receives the elements of a list one by one. */
+    public interface ElementConsumer {
+        /**
+         * Accepts the next element.
+         *
+         * @throws IOException if the element can't be used; the message says why
+         */
+        void accept(Object element) throws IOException;
+    }
+
     /** Limit for the part of a name that a message quotes. */
     private static final int MAX_QUOTED_CHARS = 100;
 
@@ -49,10 +59,24 @@
 
     /** Reads the rest of the object whose start is the parser's current token. */
     public Map<String, Object> readObject() throws IOException {
-        return readMembers("");
+        return readMembers("", null, null);
     }
 
-    private Map<String, Object> readMembers(String pointer) throws IOException {
+    /**
+     * Reads the rest of the object whose start is the parser's current token. The elements of the
+     * list with this name are passed on; the list is empty in the returned object.
+     */
+    Map<String, Object> readObject(String listName, ElementConsumer elements) throws IOException {
+        return readMembers("", listName, elements);
+    }
+
+    /**
+     * Reads the members of an object.
+     *
+     * @param listName name of the list whose elements are passed on; null to keep all lists
+     */
+    private Map<String, Object> readMembers(
+            String pointer, String listName, ElementConsumer elements) throws IOException {
         Map<String, Object> members = new LinkedHashMap<>();
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
             String name = checkUnicode(parser.currentName());
@@ -61,26 +85,35 @@
             }
             String memberPointer = child(pointer, name);
             reportPosition(memberPointer);
-            parser.nextToken();
-            members.put(name, readValue(memberPointer));
+            if (parser.nextToken() == JsonToken.START_ARRAY && name.equals(listName)) {
+                readElements(memberPointer, elements);
+                members.put(name, List.of());
+            } else {
+                members.put(name, readValue(memberPointer));
+            }
         }
         return members;
     }
 
-    private List<Object> readElements(String pointer) throws IOException {
-        List<Object> elements = new ArrayList<>();
+    private void readElements(String pointer, ElementConsumer elements) throws IOException {
+        int index = 0;
         while (parser.nextToken() != JsonToken.END_ARRAY) {
-            String elementPointer = child(pointer, elements.size());
+            String elementPointer = child(pointer, index++);
             reportPosition(elementPointer);
-            elements.add(readValue(elementPointer));
+            elements.accept(readValue(elementPointer));
         }
-        return elements;
+    }
+
+    private List<Object> readList(String pointer) throws IOException {
+        List<Object> list = new ArrayList<>();
+        readElements(pointer, list::add);
+        return list;
     }
 
     private Object readValue(String pointer) throws IOException {
         return switch (parser.currentToken()) {
-            case START_OBJECT -> readMembers(pointer);
-            case START_ARRAY -> readElements(pointer);
+            case START_OBJECT -> readMembers(pointer, null, null);
+            case START_ARRAY -> readList(pointer);
             case VALUE_STRING -> checkUnicode(parser.getText());
             case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
             case VALUE_TRUE -> true;
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -106,7 +106,7 @@
             PagingService paging)
             throws IOException {
         ConfigurationCheck.check(config);
-        this.config = config;
+        this.config = config.withoutEndpointList();
         InstanceSettings settings = config.settings;
         RouterLimits limits = RouterLimits.of(config);
         Duration connectTimeout = settings.duration("caps.connectTimeout");
@@ -317,7 +317,7 @@
             endpointWatch = endpointWatch(discoveryAddress);
             startDaemon("discovery", endpointWatch);
         }
-        config = newConfig;
+        config = newConfig.withoutEndpointList();
         LOG.log(
                 System.Logger.Level.INFO,
                 "configuration read again; discovery {0} {1}",
@@ -344,10 +344,7 @@
      * separately.
      */
     private static boolean isExcludedFromRestartWarning(String path) {
-        return path.equals("discovery")
-                || path.equals("seed")
-                || path.startsWith("known")
-                || path.startsWith("settings.");
+        return path.equals("discovery") || path.equals("seed") || path.startsWith("settings.");
     }
 
     /**
--- a/src/test/java/postbeam/config/RouterConfigTest.java
+++ b/src/test/java/postbeam/config/RouterConfigTest.java
@@ -1,11 +1,13 @@
 package postbeam.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -115,4 +117,18 @@
                 PolicyFactory.pollSchedule(read("{\"settings\":{}}").settings, new Random(1))
                         .nextPollAt());
     }
+
+    /** Lists of large fleets, kept as paths and values, filled the heap of a router. */
+    @Test
+    void endpointListIsKeptOnlyUntilItIsRead() throws IOException {
+        String list = "{\"seq\":41,\"whole\":true,\"hosts\":[{\"host\":\"s-1\"}]}";
+        RouterConfig config =
+                RouterConfig.parse(
+                        ("{\"name\":\"n0\",\"settings\":{},\"known\":" + list + "}")
+                                .getBytes(StandardCharsets.UTF_8));
+        assertEquals(41, config.initialEndpointList().orElseThrow().get("seq"));
+        assertFalse(config.members.isPresent("known"));
+        assertTrue(config.withoutEndpointList().initialEndpointList().isEmpty());
+        assertEquals("n0", config.withoutEndpointList().members.text("name"));
+    }
 }
--- a/src/test/java/postbeam/discovery/HttpGetClientTest.java
+++ b/src/test/java/postbeam/discovery/HttpGetClientTest.java
@@ -75,7 +75,7 @@
                 () ->
                         bodies.add(
                                 new String(
-                                        http.get("/", MAX_BYTES, LONG_TIMEOUTS),
+                                        http.get("/", MAX_BYTES, LONG_TIMEOUTS).readAllBytes(),
                                         StandardCharsets.UTF_8)));
         FakeDiscoveryAgent.Request request = agent.nextRequest();
         request.respond("1");
@@ -95,7 +95,7 @@
         assertEquals(
                 body,
                 new String(
-                        http.get("/", MAX_BYTES, timeoutsWithExpired(limit)),
+                        http.get("/", MAX_BYTES, timeoutsWithExpired(limit)).readAllBytes(),
                         StandardCharsets.UTF_8));
         assertEquals(1, agent.connections());
     }
@@ -111,7 +111,7 @@
         assertEquals(
                 body,
                 new String(
-                        http.get("/", MAX_BYTES, timeoutsWithExpired(limit)),
+                        http.get("/", MAX_BYTES, timeoutsWithExpired(limit)).readAllBytes(),
                         StandardCharsets.UTF_8));
     }
 
--- a/src/test/java/postbeam/discovery/LongPollWatcherTest.java
+++ b/src/test/java/postbeam/discovery/LongPollWatcherTest.java
@@ -73,7 +73,7 @@
     private LongPollWatcher<Long> createWatcher(int port) {
         return new LongPollWatcher<>(
                 new LongPollWatcher.Source("discovery", "127.0.0.1:" + port, "/v1/servers", 1000),
-                body -> parseVersion(new String(body, StandardCharsets.UTF_8)),
+                body -> parseVersion(new String(body.readAllBytes(), StandardCharsets.UTF_8)),
                 version -> version,
                 updates::add,
                 PollTimings.LOCAL_AGENT);
@@ -318,7 +318,9 @@
     /** The list has 200 nodes and the 100 that they replace, with one JSON value on each line. */
     @Test
     void indentedListOfLargeClusterDuringRolloutIsDecoded() throws Exception {
-        String host =
+        assertListDecoded(
+                200,
+                100,
                 """
                 {
                     "host": "s-%08x",
@@ -330,13 +332,41 @@
                     "share": 1.0,
                     "born_ms": 1764633600000
                 }\
-                """;
+                """);
+    }
+
+    /** Lists of large fleets were rejected as too long, so that no drain was ever noticed. */
+    @Test
+    void indentedListOfLargestFleetDuringRolloutIsDecoded() throws Exception {
+        assertListDecoded(
+                3200,
+                3200,
+                """
+                {
+                    "host": "node-in-a-zone-with-a-long-name-%08x",
+                    "dial": "255.255.255.255:65535",
+                    "site": "tbilisi-vake-saburtalo",
+                    "class": "standard-16-cores",
+                    "block": 8,
+                    "health": "%s",
+                    "share": 0.33333333333333331,
+                    "born_ms": 1764633600000
+                }\
+                """);
+    }
+
+    /**
+     * Asserts that the watcher delivers all entries of an indented list.
+     *
+     * @param entry one entry, with the host's number and health to be filled in
+     */
+    private void assertListDecoded(int nodes, int drainingNodes, String entry) throws Exception {
         String list =
                 "{\n    \"seq\": 41,\n    \"whole\": true,\n    \"hosts\": [\n"
-                        + IntStream.range(0, 300)
+                        + IntStream.range(0, nodes + drainingNodes)
                                 .mapToObj(
                                         i ->
-                                                host.formatted(i, i < 200 ? "up" : "draining")
+                                                entry.formatted(i, i < nodes ? "up" : "draining")
                                                         .indent(8)
                                                         .stripTrailing())
                                 .collect(Collectors.joining(",\n"))
@@ -358,7 +388,10 @@
         startDaemonThread(listWatcher::run);
         EndpointUpdate update = lists.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         listWatcher.stop();
-        assertEquals(300, update == null ? 0 : update.endpoints().size(), list.length() + " bytes");
+        assertEquals(
+                nodes + drainingNodes,
+                update == null ? 0 : update.endpoints().size(),
+                list.length() + " bytes");
     }
 
     /** The list is fetched only from the address in the configuration. */
--- a/src/test/java/postbeam/discovery/UpdateDeadlineTest.java
+++ b/src/test/java/postbeam/discovery/UpdateDeadlineTest.java
@@ -75,7 +75,9 @@
                 new LongPollWatcher<>(
                         new LongPollWatcher.Source(
                                 "discovery", agent.address(), "/v1/servers", 256 << 10),
-                        body -> Long.parseLong(new String(body, StandardCharsets.UTF_8)),
+                        body ->
+                                Long.parseLong(
+                                        new String(body.readAllBytes(), StandardCharsets.UTF_8)),
                         version -> version,
                         updates::add,
                         countingTimings);
