Discovery: a failed poll is followed by changes, not by the whole list

What callers saw: nothing at 200 data nodes. At 3,200 each reset, late or silent poll cost 390 KB of lists at each router.

Cause: the watcher forgot its version at each failure. The changes of a lost response are those since the version held, so that version can be named again; PollPlan says when it can't (refused connection, unusable response, older version, one in four polls of an outage).

--- a/src/main/java/postbeam/discovery/HttpResponseReader.java
+++ b/src/main/java/postbeam/discovery/HttpResponseReader.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Locale;
+import java.util.Set;
 
 /** Reads one HTTP/1.1 response and limits the size of its head and body. */
 final class HttpResponseReader {
@@ -14,6 +15,10 @@
     private static final int MAX_QUOTED_CHARS = 40;
 
     private static final String STATUS_OK = "200";
+
+    /** Statuses of a server that rejects requests because there are too many. */
+    private static final Set<String> OVERLOADED = Set.of("429", "503");
+
     private static final int UNKNOWN_LENGTH = -1;
 
     private final DeadlineInput input;
@@ -56,14 +61,17 @@
     private void readStatus() throws IOException {
         String[] status = readLine().split(" ", 3);
         if (!status[0].startsWith("HTTP/1.") || status.length < 2) {
-            throw new IOException(
+            throw new UnusableResponseException(
                     "response must start with an HTTP/1.x status line, but its first word is "
                             + status[0]
                                     .substring(0, Math.min(status[0].length(), MAX_QUOTED_CHARS))
                                     .replaceAll("\\p{Cc}", "?"));
         }
+        if (OVERLOADED.contains(status[1])) {
+            throw new IOException("the server is overloaded, HTTP status " + status[1]);
+        }
         if (!status[1].equals(STATUS_OK)) {
-            throw new IOException(
+            throw new UnusableResponseException(
                     "expected HTTP status 200, received "
                             + (status[1].matches("[0-9]{3}") ? status[1] : "a malformed status"));
         }
@@ -74,7 +82,8 @@
         for (String line = readLine(); !line.isEmpty(); line = readLine()) {
             headBytes += line.length();
             if (headBytes > MAX_HEAD_BYTES) {
-                throw new IOException("response head is longer than " + MAX_HEAD_BYTES + " bytes");
+                throw new UnusableResponseException(
+                        "response head is longer than " + MAX_HEAD_BYTES + " bytes");
             }
             int colon = line.indexOf(':');
             String name = line.substring(0, Math.max(0, colon)).toLowerCase(Locale.ROOT);
@@ -98,7 +107,7 @@
         while ((length = readChunkLength()) > 0) {
             readBody(length);
             if (!readLine().isEmpty()) {
-                throw new IOException(
+                throw new UnusableResponseException(
                         "chunk of " + length + " bytes is not followed by a line end");
             }
         }
@@ -122,7 +131,7 @@
 
     private void readBody(long length) throws IOException {
         if (length > maxBodyBytes - body.size()) {
-            throw new IOException(
+            throw new UnusableResponseException(
                     "response body has "
                             + (body.size() + length)
                             + (chunked ? " bytes or more" : " bytes")
@@ -140,7 +149,8 @@
                 throw new EOFException("connection closed within a header or chunk line");
             }
             if (line.length() == MAX_HEAD_BYTES) {
-                throw new IOException("response line is longer than " + MAX_HEAD_BYTES + " bytes");
+                throw new UnusableResponseException(
+                        "response line is longer than " + MAX_HEAD_BYTES + " bytes");
             }
             line.append((char) next);
         }
@@ -156,7 +166,7 @@
         } catch (NumberFormatException e) {
             // Reported below, like a negative length.
         }
-        throw new IOException(
+        throw new UnusableResponseException(
                 "content or chunk length must be an integer of 0 or more in base "
                         + radix
                         + ", not "
--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -10,16 +11,20 @@
 
 /**
  * Watches a versioned document over HTTP by long polling. It fetches the complete document, then
- * changes, and the complete document again after every failure. It runs on a thread of its own,
- * which the owner starts; only {@link #stop} may be called on another thread. The watcher's lock
- * ensures that no update is delivered after a stop.
+ * changes; {@link PollPlan} decides what it fetches after a failure. It runs on a thread of its
+ * own, which the owner starts; only {@link #stop} may be called on another thread. The watcher's
+ * lock ensures that no update is delivered after a stop.
  *
  * @param <T> type of an update: a complete document or changes of it
  */
 public final class LongPollWatcher<T> implements Runnable {
     private static final System.Logger LOG = System.getLogger(LongPollWatcher.class.getName());
 
-    private static final long NO_VERSION = -1;
+    /**
+     * Wait in a request for changes that is to be answered at once. The protocol does not say what
+     * a wait of 0 is.
+     */
+    private static final Duration CATCH_UP_WAIT = Duration.ofMillis(1);
 
     /**
      * Decodes response bodies.
@@ -42,6 +47,8 @@
      * @param address HOST:PORT of the server
      * @param path path of the document
      * @param maxBytes limit for the body of a response
+     * @param sendsChanges whether the server answers a request for changes with less than the
+     *     complete document
      * @param queryParameters supplies further parameters of each request as name=value, or an empty
      *     string
      */
@@ -50,10 +57,11 @@
             String address,
             String path,
             int maxBytes,
+            boolean sendsChanges,
             Supplier<String> queryParameters) {
-        /** Creates a source whose requests have no further parameters. */
+        /** Creates a source that sends changes and whose requests have no further parameters. */
         public Source(String name, String address, String path, int maxBytes) {
-            this(name, address, path, maxBytes, () -> "");
+            this(name, address, path, maxBytes, true, () -> "");
         }
     }
 
@@ -68,8 +76,7 @@
     /** Set by {@link #stop} under the lock, or when the polling thread is interrupted. */
     private volatile boolean stopped;
 
-    private long version = NO_VERSION;
-    private int consecutiveFailures;
+    private final PollPlan plan;
 
     /** Creates a watcher that runs no action after a poll. */
     public LongPollWatcher(
@@ -105,6 +112,7 @@
         this.onUpdate = onUpdate;
         this.timings = timings;
         this.onPollDone = onPollDone;
+        this.plan = new PollPlan(source.sendsChanges());
     }
 
     /** Polls until {@link #stop} is called or the thread is interrupted in a pause. */
@@ -124,25 +132,25 @@
 
     private void poll() throws IOException {
         long startNanos = System.nanoTime();
-        T update = version < 0 ? fetchAll() : fetchChanges();
+        PollPlan.Request request = plan.next();
+        long oldVersion = plan.version();
+        T update = fetch(request);
         long newVersion = checkVersion(update);
         if (!deliver(update)) {
             return;
         }
         onPollDone.run();
-        // Backs off so that a server that responds at once without changes is not polled in a loop.
-        boolean unchanged = newVersion == version;
-        boolean early = System.nanoTime() - startNanos < timings.longPollWait().toNanos() / 2;
-        version = newVersion;
-        if (consecutiveFailures > 0) {
+        if (plan.consecutiveFailures() > 0) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "{0} answers again, version {1}",
                     source.name(),
-                    version);
+                    newVersion);
         }
-        consecutiveFailures = 0;
-        if (unchanged && early) {
+        plan.onUpdate(newVersion);
+        // Backs off so that a server that responds at once without changes is not polled in a loop.
+        boolean early = System.nanoTime() - startNanos < timings.longPollWait().toNanos() / 2;
+        if (request == PollPlan.Request.LONG_POLL && newVersion == oldVersion && early) {
             backOff(1);
         }
     }
@@ -151,10 +159,11 @@
      * Rejects changes with a version older than the current one, as they do not apply to it. Any
      * version of a complete document is accepted, except a negative one.
      */
-    private long checkVersion(T update) throws IOException {
+    private long checkVersion(T update) throws UnusableResponseException {
         long newVersion = versionOf.applyAsLong(update);
+        long version = plan.version();
         if (newVersion < Math.max(0, version)) {
-            throw new IOException(
+            throw new UnusableResponseException(
                     "version "
                             + newVersion
                             + (version < 0
@@ -174,7 +183,8 @@
     }
 
     private void handleFailure(Throwable failure) {
-        if (consecutiveFailures++ == 0) {
+        plan.onFailure(classify(failure));
+        if (plan.consecutiveFailures() == 1) {
             LOG.log(
                     System.Logger.Level.WARNING,
                     "{0} at {1}: {2}; what is held stays",
@@ -183,9 +193,16 @@
                     failure.toString());
         }
         onPollDone.run();
-        // Fetches the complete document next, as the failed response may have held changes.
-        version = NO_VERSION;
-        backOff(consecutiveFailures);
+        backOff(plan.consecutiveFailures());
+    }
+
+    private static PollPlan.Failure classify(Throwable failure) {
+        if (failure instanceof ConnectException) {
+            return PollPlan.Failure.CONNECTION_REFUSED;
+        }
+        boolean received =
+                failure instanceof UnusableResponseException || !(failure instanceof IOException);
+        return received ? PollPlan.Failure.REJECTED : PollPlan.Failure.NO_RESPONSE;
     }
 
     private void backOff(int failures) {
@@ -196,27 +213,44 @@
         }
     }
 
-    private T fetchAll() throws IOException {
-        Duration firstByte = timings.firstByteTimeout().apply(consecutiveFailures);
+    private T fetch(PollPlan.Request request) throws IOException {
+        return switch (request) {
+            case COMPLETE -> fetchNow("");
+            case CATCH_UP -> fetchNow(changesQuery(CATCH_UP_WAIT));
+            case LONG_POLL -> awaitChanges();
+        };
+    }
+
+    private T fetchNow(String query) throws IOException {
+        Duration firstByte = timings.firstByteTimeout().apply(plan.consecutiveFailures());
         Duration response = timings.responseTimeout();
-        return fetch("", new HttpGetClient.Timeouts(firstByte, firstByte, response, response));
+        return fetch(query, new HttpGetClient.Timeouts(firstByte, firstByte, response, response));
     }
 
-    private T fetchChanges() throws IOException {
-        Duration connect = timings.firstByteTimeout().apply(consecutiveFailures);
+    private T awaitChanges() throws IOException {
+        Duration connect = timings.firstByteTimeout().apply(plan.consecutiveFailures());
         Duration wait = timings.longPollWait().plus(timings.longPollGrace());
         return fetch(
-                "?index=" + version + "&wait=" + timings.longPollWait().toMillis(),
+                changesQuery(timings.longPollWait()),
                 new HttpGetClient.Timeouts(connect, wait, timings.responseTimeout(), wait));
     }
 
+    private String changesQuery(Duration wait) {
+        return "?index=" + plan.version() + "&wait=" + wait.toMillis();
+    }
+
     private T fetch(String query, HttpGetClient.Timeouts timeouts) throws IOException {
         String parameters = source.queryParameters().get();
         String path = source.path() + query;
         if (!parameters.isEmpty()) {
             path += (query.isEmpty() ? "?" : "&") + parameters;
         }
-        return decoder.decode(http.get(path, source.maxBytes(), timeouts));
+        InputStream body = http.get(path, source.maxBytes(), timeouts);
+        try {
+            return decoder.decode(body);
+        } catch (IOException e) {
+            throw new UnusableResponseException(e.toString(), e);
+        }
     }
 
     /** Stops polling and aborts a pending request. No update is delivered after the return. */
--- /dev/null
+++ b/src/main/java/postbeam/discovery/PollPlan.java
@@ -0,0 +1,84 @@
+package postbeam.discovery;
+
+/**
+ * Decides what a watcher requests next: the complete document, or what has changed since the
+ * version that it holds. A failed poll loses nothing: the changes that its response had are those
+ * since the held version, and are requested again. Uses no I/O, clock or thread.
+ */
+final class PollPlan {
+    static final long NO_VERSION = -1;
+
+    /** What a poll requests. */
+    enum Request {
+        /** The complete document. */
+        COMPLETE,
+        /** Changes since the held version, at once. */
+        CATCH_UP,
+        /** Changes since the held version, when there are any. */
+        LONG_POLL
+    }
+
+    /** Why a poll failed. */
+    enum Failure {
+        /** Nothing listens: the server may have restarted, and then counts versions from anew. */
+        CONNECTION_REFUSED,
+        /** The response is missing or incomplete, or the server is overloaded. */
+        NO_RESPONSE,
+        /** The response can't be used. Another response to the same request may be no better. */
+        REJECTED
+    }
+
+    /**
+     * One poll in this many consecutive failures requests the complete document, in case the server
+     * answers no requests for changes. Few do, as an outage would otherwise cost a list of
+     * thousands of nodes at each router.
+     */
+    private static final int COMPLETE_INTERVAL = 4;
+
+    private final boolean sendsChanges;
+    private Request next = Request.COMPLETE;
+    private long version = NO_VERSION;
+    private int consecutiveFailures;
+
+    /**
+     * Creates a plan that starts with the complete document.
+     *
+     * @param sendsChanges whether the server answers a request for changes with less than the
+     *     complete document; otherwise the complete document is requested after each failure
+     */
+    PollPlan(boolean sendsChanges) {
+        this.sendsChanges = sendsChanges;
+    }
+
+    /** Returns what to request next. */
+    Request next() {
+        return next;
+    }
+
+    /** Returns the version to name in the next request; {@link #NO_VERSION} if it names none. */
+    long version() {
+        return next == Request.COMPLETE ? NO_VERSION : version;
+    }
+
+    /** Returns the number of failures since the last update. */
+    int consecutiveFailures() {
+        return consecutiveFailures;
+    }
+
+    /** Records a response with this version, changed or not. */
+    void onUpdate(long newVersion) {
+        version = newVersion;
+        next = Request.LONG_POLL;
+        consecutiveFailures = 0;
+    }
+
+    /** Records a failed poll. */
+    void onFailure(Failure failure) {
+        consecutiveFailures++;
+        if (!sendsChanges || failure != Failure.NO_RESPONSE) {
+            version = NO_VERSION;
+        }
+        boolean complete = version == NO_VERSION || consecutiveFailures % COMPLETE_INTERVAL == 0;
+        next = complete ? Request.COMPLETE : Request.CATCH_UP;
+    }
+}
--- a/src/main/java/postbeam/layoutservice/LayoutWatch.java
+++ b/src/main/java/postbeam/layoutservice/LayoutWatch.java
@@ -57,7 +57,7 @@
             String address, Consumer<Layout> listener, Supplier<String> queryParameters) {
         return new LongPollWatcher<>(
                 new LongPollWatcher.Source(
-                        "layouts", address, "/v1/layout", MAX_LAYOUT_BYTES, queryParameters),
+                        "layouts", address, "/v1/layout", MAX_LAYOUT_BYTES, false, queryParameters),
                 body -> LayoutCodec.read(Json.parseObject(body)),
                 layout -> layout.version,
                 listener,
