Discovery: a rejected list is fetched less and less often, and reported

What callers and operators saw: a list that can't be used was fetched each 0.1 s for ever; the log lacked its size, and nothing at all was logged where another failure came before; /healthz said no more than "ready".

Cause: one pause for all failures, and one warning for all that follow each other. Unusable responses are now counted by themselves: the pause doubles to 1.2 s, within the poll cycle; the first is logged with size and limit; /healthz names it until a list is accepted, with the status unchanged.

--- a/src/main/java/postbeam/clients/QueryServer.java
+++ b/src/main/java/postbeam/clients/QueryServer.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.SynchronousQueue;
@@ -73,6 +74,14 @@
 
         /** Returns whether queries can be served; reported to health checks. */
         boolean isReady();
+
+        /**
+         * Returns what operators should know of a handler that may be ready all the same; health
+         * checks report it after the state. A clause without a full stop.
+         */
+        default Optional<String> warning() {
+            return Optional.empty();
+        }
     }
 
     /** Handles requests other than queries. Runs on a query thread. */
--- a/src/main/java/postbeam/clients/RequestDispatcher.java
+++ b/src/main/java/postbeam/clients/RequestDispatcher.java
@@ -64,7 +64,9 @@
             // that they do not use up the connection limit for clients.
             exchange.setPersistent(false);
         }
-        ResponseWriter.sendText(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
+        String state = ready ? "ready" : "not ready";
+        String warning = context.queries().warning().map(text -> "; " + text).orElse("");
+        ResponseWriter.sendText(exchange, ready ? 200 : 503, state + firstLine(warning));
     }
 
     private void runHandler(
--- a/src/main/java/postbeam/discovery/EndpointListWatch.java
+++ b/src/main/java/postbeam/discovery/EndpointListWatch.java
@@ -19,12 +19,12 @@
     private EndpointListWatch() {}
 
     /**
-     * Creates a watcher that runs no action after a poll; see {@link #create(String, int, Consumer,
-     * PollTimings, Runnable)}.
+     * Creates a watcher without a listener of polls; see {@link #create(String, int, Consumer,
+     * PollTimings, PollListener)}.
      */
     public static LongPollWatcher<EndpointUpdate> create(
             String address, int cells, Consumer<EndpointUpdate> onUpdate, PollTimings timings) {
-        return create(address, cells, onUpdate, timings, () -> {});
+        return create(address, cells, onUpdate, timings, PollListener.NONE);
     }
 
     /**
@@ -34,20 +34,20 @@
      * @param cells number of cells; endpoints name them from 0
      * @param onUpdate receives each complete list or change
      * @param timings request timeouts and the pauses between requests
-     * @param onPollDone run after each poll, whether it succeeded or failed
+     * @param pollListener is told how each poll ended
      */
     public static LongPollWatcher<EndpointUpdate> create(
             String address,
             int cells,
             Consumer<EndpointUpdate> onUpdate,
             PollTimings timings,
-            Runnable onPollDone) {
+            PollListener pollListener) {
         return new LongPollWatcher<>(
                 new LongPollWatcher.Source("discovery", address, PATH, MAX_LIST_BYTES),
                 body -> EndpointListCodec.decode(body, cells),
                 EndpointUpdate::version,
                 onUpdate,
                 timings,
-                onPollDone);
+                pollListener);
     }
 }
--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -71,21 +71,21 @@
     private final ToLongFunction<T> versionOf;
     private final Consumer<T> onUpdate;
     private final PollTimings timings;
-    private final Runnable onPollDone;
+    private final PollListener pollListener;
 
     /** Set by {@link #stop} under the lock, or when the polling thread is interrupted. */
     private volatile boolean stopped;
 
     private final PollPlan plan;
 
-    /** Creates a watcher that runs no action after a poll. */
+    /** Creates a watcher without a listener of polls. */
     public LongPollWatcher(
             Source source,
             Decoder<T> decoder,
             ToLongFunction<T> versionOf,
             Consumer<T> onUpdate,
             PollTimings timings) {
-        this(source, decoder, versionOf, onUpdate, timings, () -> {});
+        this(source, decoder, versionOf, onUpdate, timings, PollListener.NONE);
     }
 
     /**
@@ -96,7 +96,7 @@
      * @param versionOf returns the version that an update states
      * @param onUpdate receives each update, changed or not; called under the watcher's lock
      * @param timings request timeouts and the pauses between requests
-     * @param onPollDone run after each poll, whether it succeeded or failed
+     * @param pollListener is told how each poll ended
      */
     public LongPollWatcher(
             Source source,
@@ -104,14 +104,14 @@
             ToLongFunction<T> versionOf,
             Consumer<T> onUpdate,
             PollTimings timings,
-            Runnable onPollDone) {
+            PollListener pollListener) {
         this.source = source;
         this.http = new HttpGetClient(source.address());
         this.decoder = decoder;
         this.versionOf = versionOf;
         this.onUpdate = onUpdate;
         this.timings = timings;
-        this.onPollDone = onPollDone;
+        this.pollListener = pollListener;
         this.plan = new PollPlan(source.sendsChanges());
     }
 
@@ -139,7 +139,7 @@
         if (!deliver(update)) {
             return;
         }
-        onPollDone.run();
+        pollListener.onResponse();
         if (plan.consecutiveFailures() > 0) {
             LOG.log(
                     System.Logger.Level.INFO,
@@ -151,7 +151,7 @@
         // Backs off so that a server that responds at once without changes is not polled in a loop.
         boolean early = System.nanoTime() - startNanos < timings.longPollWait().toNanos() / 2;
         if (request == PollPlan.Request.LONG_POLL && newVersion == oldVersion && early) {
-            backOff(1);
+            pause(timings.pauseAfterFailure(1, 0));
         }
     }
 
@@ -183,8 +183,10 @@
     }
 
     private void handleFailure(Throwable failure) {
-        plan.onFailure(classify(failure));
-        if (plan.consecutiveFailures() == 1) {
+        PollPlan.Failure kind = classify(failure);
+        plan.onFailure(kind);
+        boolean firstRejection = kind == PollPlan.Failure.REJECTED && plan.rejections() == 1;
+        if (plan.consecutiveFailures() == 1 || firstRejection) {
             LOG.log(
                     System.Logger.Level.WARNING,
                     "{0} at {1}: {2}; what is held stays",
@@ -192,8 +194,12 @@
                     source.address(),
                     failure.toString());
         }
-        onPollDone.run();
-        backOff(plan.consecutiveFailures());
+        if (kind == PollPlan.Failure.REJECTED) {
+            pollListener.onRejectedResponse(String.valueOf(failure.getMessage()));
+        } else {
+            pollListener.onNoResponse();
+        }
+        pause(timings.pauseAfterFailure(plan.consecutiveFailures(), plan.rejections()));
     }
 
     private static PollPlan.Failure classify(Throwable failure) {
@@ -205,9 +211,9 @@
         return received ? PollPlan.Failure.REJECTED : PollPlan.Failure.NO_RESPONSE;
     }
 
-    private void backOff(int failures) {
+    private void pause(Duration duration) {
         try {
-            Thread.sleep(timings.backoff().apply(failures).toMillis());
+            Thread.sleep(duration.toMillis());
         } catch (InterruptedException e) {
             stopped = true;
         }
@@ -249,7 +255,7 @@
         try {
             return decoder.decode(body);
         } catch (IOException e) {
-            throw new UnusableResponseException(e.toString(), e);
+            throw new UnusableResponseException(String.valueOf(e.getMessage()), e);
         }
     }
 
--- a/src/main/java/postbeam/discovery/PollPlan.java
+++ b/src/main/java/postbeam/discovery/PollPlan.java
@@ -40,6 +40,9 @@
     private long version = NO_VERSION;
     private int consecutiveFailures;
 
+    /** Number of unusable responses since the last update. */
+    private int rejections;
+
     /**
      * Creates a plan that starts with the complete document.
      *
@@ -65,16 +68,25 @@
         return consecutiveFailures;
     }
 
+    /** Returns the number of unusable responses since the last update. */
+    int rejections() {
+        return rejections;
+    }
+
     /** Records a response with this version, changed or not. */
     void onUpdate(long newVersion) {
         version = newVersion;
         next = Request.LONG_POLL;
         consecutiveFailures = 0;
+        rejections = 0;
     }
 
     /** Records a failed poll. */
     void onFailure(Failure failure) {
         consecutiveFailures++;
+        if (failure == Failure.REJECTED) {
+            rejections++;
+        }
         if (!sendsChanges || failure != Failure.NO_RESPONSE) {
             version = NO_VERSION;
         }
--- a/src/main/java/postbeam/endpoints/PollTimings.java
+++ b/src/main/java/postbeam/endpoints/PollTimings.java
@@ -154,6 +154,24 @@
                 MAX_BACKOFF);
     }
 
+    /**
+     * Returns the pause before the next poll. It grows while responses can't be used, as each may
+     * be a list of thousands of nodes, but not beyond the pauses that a poll cycle leaves room for.
+     *
+     * @param failures number of consecutive failures
+     * @param rejections how many of them were responses that can't be used
+     */
+    public Duration pauseAfterFailure(int failures, int rejections) {
+        Duration pause = backoff.apply(failures);
+        if (rejections == 0) {
+            return pause;
+        }
+        int exponent = Math.min(rejections - 1, MAX_BACKOFF_EXPONENT);
+        Duration grown = AGENT_BACKOFF.multipliedBy(1L << exponent);
+        Duration limited = grown.compareTo(MAX_BACKOFF) < 0 ? grown : MAX_BACKOFF;
+        return limited.compareTo(pause) > 0 ? limited : pause;
+    }
+
     private static Duration agentFirstByteTimeout(int failures) {
         boolean fullTimeout = failures % FULL_TIMEOUT_INTERVAL == FULL_TIMEOUT_INTERVAL - 1;
         return fullTimeout ? AGENT_RESPONSE_TIMEOUT : AGENT_FIRST_BYTE_TIMEOUT;
--- a/src/main/java/postbeam/router/Router.java
+++ b/src/main/java/postbeam/router/Router.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -74,6 +75,7 @@
     /** Null if this router has no extension. */
     private RouterExtension extension;
 
+    private final EndpointListStatus endpointListStatus;
     private RouterConfig config;
     private LongPollWatcher<EndpointUpdate> endpointWatch;
     private boolean listening;
@@ -120,6 +122,7 @@
         executor =
                 new PolicyExecutor(
                         settings, config.seed(), maxBatchSize, connectTimeout, slicing, paging);
+        endpointListStatus = new EndpointListStatus(executor::onDiscoveryPollEnd);
         layoutWatch = slicing == null ? null : layoutWatch(layoutService);
         if (config.initialEndpointList().isPresent()) {
             onEndpointUpdate(EndpointListCodec.decode(config.initialEndpointList().get(), cells));
@@ -228,7 +231,7 @@
                 cells,
                 this::onEndpointUpdate,
                 discoveryTimings,
-                executor::onDiscoveryPollEnd);
+                endpointListStatus);
     }
 
     private LongPollWatcher<Layout> layoutWatch(String layoutService) {
@@ -382,6 +385,11 @@
         return readiness.isReady();
     }
 
+    @Override
+    public Optional<String> warning() {
+        return endpointListStatus.warning();
+    }
+
     /**
      * Shuts down gracefully ({@link GracefulShutdown}) and makes {@link #await} return. A router
      * that does not listen yet stops at once and never starts to listen.
--- a/src/test/java/postbeam/clients/QueryServerTest.java
+++ b/src/test/java/postbeam/clients/QueryServerTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
@@ -36,6 +37,8 @@
     private Socket client;
     private BufferedReader responses;
 
+    private volatile String warning;
+
     @BeforeEach
     void setUp() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
@@ -53,6 +56,11 @@
                             public boolean isReady() {
                                 return true;
                             }
+
+                            @Override
+                            public Optional<String> warning() {
+                                return Optional.ofNullable(warning);
+                            }
                         },
                         Map.of(),
                         Set.of(),
@@ -98,6 +106,16 @@
         return lines;
     }
 
+    /** A router whose list was rejected reported that it was ready, and nothing else. */
+    @Test
+    void healthCheckReportsTheWarningOfAReadyRouter() throws IOException {
+        warning = "the endpoint list is not followed: response body has 9 bytes, the limit is 8";
+        sendRequest();
+        List<String> response = readResponse();
+        assertEquals("HTTP/1.1 200 OK", response.get(0));
+        assertEquals("ready; " + warning, response.get(response.size() - 1));
+    }
+
     /** The I/O thread is blocked: a received request is still unread when the server is closed. */
     @Test
     void requestReceivedBeforeCloseIsAnsweredAndEndsTheConnection() throws Exception {
--- a/src/test/java/postbeam/discovery/LongPollWatcherTest.java
+++ b/src/test/java/postbeam/discovery/LongPollWatcherTest.java
@@ -339,6 +339,18 @@
         assertTrue(requests.size() <= 20, requests.size() + " requests in a second");
     }
 
+    /** A list over the limit was fetched ten times a second for as long as it stayed so. */
+    @Test
+    void listThatStaysUnusableIsFetchedLessAndLessOften() throws Exception {
+        responder = (path, out) -> send(out, "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
+        startWatching();
+        assertEquals("/v1/servers", requests.take());
+        Thread.sleep(3000);
+        assertTrue(requests.size() <= 6, requests.size() + " further requests in 3 s");
+        responder = (path, out) -> respond(out, "8");
+        assertEquals(8L, nextUpdate());
+    }
+
     @Test
     void changesOfOlderVersionAreRejectedAndTheListIsFetchedAgain() throws Exception {
         responder =
