--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -5,8 +5,6 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -15,10 +13,6 @@
 import org.xnio.Option;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSinkConduit;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ReadReadyHandler;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -110,9 +104,9 @@
         this.socket = socket;
         this.requestMemory = requestMemory;
         this.input = socket.getSourceChannel().getConduit();
-        setSourceConduit(new InputUntilClosed());
+        setSourceConduit(new ClientInput(input, () -> closing));
         this.output = socket.getSinkChannel().getConduit();
-        setSinkConduit(new OutputUntilClosed());
+        setSinkConduit(new ClientOutput(output, () -> closing));
     }
 
     /** Returns the connection that a request was received on. */
@@ -334,132 +328,6 @@
         }
     }
 
-    /**
-     * Input for the HTTP library. After a close it returns no more bytes, while the input of the
-     * socket stays open.
-     *
-     * <p>Each time the selector reports the socket as readable, one read returns bytes; further
-     * reads return none until the next time. Otherwise the library would read and process a
-     * client's requests for as long as more of them arrive: it wakes itself up by tasks of the I/O
-     * thread, which run before the selector serves the other connections.
-     */
-    private final class InputUntilClosed extends AbstractStreamSourceConduit<StreamSourceConduit> {
-        /** Whether bytes were read since the selector last reported the socket as readable. */
-        private boolean hasRead;
-
-        /** Whether the next notification comes from the HTTP library and not from the selector. */
-        private boolean wakeupRequested;
-
-        InputUntilClosed() {
-            super(input);
-        }
-
-        @Override
-        public void setReadReadyHandler(ReadReadyHandler handler) {
-            super.setReadReadyHandler(
-                    new ReadReadyHandler() {
-                        @Override
-                        public void readReady() {
-                            onReadReady();
-                            handler.readReady();
-                        }
-
-                        @Override
-                        public void forceTermination() {
-                            handler.forceTermination();
-                        }
-
-                        @Override
-                        public void terminated() {
-                            handler.terminated();
-                        }
-                    });
-        }
-
-        private void onReadReady() {
-            if (!wakeupRequested) {
-                hasRead = false;
-            }
-            wakeupRequested = false;
-        }
-
-        @Override
-        public void wakeupReads() {
-            wakeupRequested = true;
-            super.wakeupReads();
-        }
-
-        private boolean mayRead() {
-            return !closing && !hasRead;
-        }
-
-        @Override
-        public long transferTo(long position, long count, FileChannel target) throws IOException {
-            return mayRead() ? countRead(super.transferTo(position, count, target)) : 0;
-        }
-
-        @Override
-        public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
-                throws IOException {
-            return mayRead() ? countRead(super.transferTo(count, throughBuffer, target)) : 0;
-        }
-
-        @Override
-        public int read(ByteBuffer target) throws IOException {
-            return mayRead() ? (int) countRead(super.read(target)) : 0;
-        }
-
-        @Override
-        public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-            return mayRead() ? countRead(super.read(targets, offset, length)) : 0;
-        }
-
-        private long countRead(long bytes) {
-            hasRead |= bytes > 0;
-            return bytes;
-        }
-
-        @Override
-        public void terminateReads() {}
-    }
-
-    /** Output for the HTTP library. After a close every write of the library fails. */
-    private final class OutputUntilClosed extends AbstractStreamSinkConduit<StreamSinkConduit> {
-        OutputUntilClosed() {
-            super(output);
-        }
-
-        private void checkOpen() throws IOException {
-            if (closing) {
-                throw new ClosedChannelException();
-            }
-        }
-
-        @Override
-        public int write(ByteBuffer source) throws IOException {
-            checkOpen();
-            return super.write(source);
-        }
-
-        @Override
-        public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
-            checkOpen();
-            return super.write(sources, offset, length);
-        }
-
-        @Override
-        public void terminateWrites() throws IOException {
-            checkOpen();
-            super.terminateWrites();
-        }
-
-        @Override
-        public void truncateWrites() throws IOException {
-            checkOpen();
-            super.truncateWrites();
-        }
-    }
-
     // ---- delegated to the socket
 
     @Override
