Endpoints: a change of one node no longer walks through all addresses

NodeDirectory and the layout service's EndpointDirectory looked at the address of each node of a fleet for each change of one. The registry now returns the nodes that it forgets, and an update its removed ones.

--- a/src/main/java/postbeam/endpoints/EndpointRegistry.java
+++ b/src/main/java/postbeam/endpoints/EndpointRegistry.java
@@ -1,6 +1,7 @@
 package postbeam.endpoints;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
@@ -66,8 +67,9 @@
      * @param complete whether nodes that are missing from the list are removed
      * @param startTime converts microseconds on discovery's clock to the policy's time
      * @param policy receives the state of each node
+     * @return the nodes that are no longer known, removed ones of which too many were kept
      */
-    public void update(
+    public List<DataNode> update(
             Duration now,
             List<Endpoint> endpoints,
             boolean complete,
@@ -86,7 +88,7 @@
                 }
             }
         }
-        evictLongestRemoved();
+        return evictLongestRemoved();
     }
 
     private void update(
@@ -130,11 +132,14 @@
         }
     }
 
-    private void evictLongestRemoved() {
+    private List<DataNode> evictLongestRemoved() {
+        List<DataNode> evicted = new ArrayList<>();
         while (removedNodes.size() > MAX_REMOVED_NODES) {
             DataNode longestRemoved = removedNodes.iterator().next();
             removedNodes.remove(longestRemoved);
             nodes.remove(namesByNode.remove(longestRemoved));
+            evicted.add(longestRemoved);
         }
+        return evicted;
     }
 }
--- a/src/main/java/postbeam/layoutservice/EndpointDirectory.java
+++ b/src/main/java/postbeam/layoutservice/EndpointDirectory.java
@@ -27,9 +27,6 @@
      * @return the names of known nodes that have restarted since the last update
      */
     List<String> apply(EndpointUpdate update) {
-        if (update.complete()) {
-            markMissingAsRemoved(update);
-        }
         List<String> restarted = new ArrayList<>();
         for (Endpoint endpoint : update.endpoints()) {
             Endpoint previous = endpoints.put(endpoint.name(), endpoint);
@@ -38,15 +35,25 @@
             }
         }
         addresses.putAll(update.addresses());
-        addresses.keySet().removeIf(name -> readiness(name) == Readiness.REMOVED);
+        update.endpoints().forEach(this::forgetAddressIfRemoved);
+        if (update.complete()) {
+            markMissingAsRemoved(update);
+        }
         return restarted;
     }
 
+    private void forgetAddressIfRemoved(Endpoint endpoint) {
+        if (readiness(endpoint.name()) == Readiness.REMOVED) {
+            addresses.remove(endpoint.name());
+        }
+    }
+
     private void markMissingAsRemoved(EndpointUpdate update) {
         Set<String> listed = new HashSet<>();
         update.endpoints().forEach(endpoint -> listed.add(endpoint.name()));
         endpoints.replaceAll(
                 (name, endpoint) -> listed.contains(name) ? endpoint : removed(endpoint));
+        addresses.keySet().retainAll(listed);
     }
 
     private static Endpoint removed(Endpoint endpoint) {
--- a/src/main/java/postbeam/router/NodeDirectory.java
+++ b/src/main/java/postbeam/router/NodeDirectory.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.IdentityHashMap;
+import java.util.List;
 import postbeam.endpoints.EndpointRegistry;
 import postbeam.endpoints.EndpointUpdate;
 import postbeam.model.DataNode;
@@ -25,9 +26,11 @@
 
     /** Applies an endpoint update: nodes and their addresses. */
     void update(Duration now, EndpointUpdate update, MonotonicClock clock, RoutingPolicy policy) {
-        endpoints.update(now, update.endpoints(), update.complete(), clock::fromUnixMicros, policy);
+        List<DataNode> forgotten =
+                endpoints.update(
+                        now, update.endpoints(), update.complete(), clock::fromUnixMicros, policy);
         update.addresses().forEach(this::putAddress);
-        addresses.keySet().removeIf(node -> endpoints.nameOf(node) == null);
+        forgotten.forEach(addresses::remove);
     }
 
     private void putAddress(String name, String address) {
--- a/src/test/java/postbeam/endpoints/EndpointRegistryTest.java
+++ b/src/test/java/postbeam/endpoints/EndpointRegistryTest.java
@@ -1,5 +1,6 @@
 package postbeam.endpoints;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
@@ -31,8 +32,8 @@
                     actions, new Random(1), new Cluster(1, 1), new InstanceSettings());
     private final EndpointRegistry registry = new EndpointRegistry("a");
 
-    private void update(String name, Readiness readiness, boolean complete) {
-        registry.update(
+    private List<DataNode> update(String name, Readiness readiness, boolean complete) {
+        return registry.update(
                 Duration.ZERO,
                 List.of(new Endpoint(name, "a", 0, 0, readiness)),
                 complete,
@@ -56,4 +57,19 @@
         assertNull(registry.node("n0"));
         assertNotNull(registry.node("n199"));
     }
+
+    /** The owner of addresses looked at all nodes of a fleet for each one that changed. */
+    @Test
+    void updateReturnsTheNodesThatItForgets() {
+        update("first", Readiness.READY, false);
+        DataNode first = registry.node("first");
+        assertEquals(List.of(), update("first", Readiness.REMOVED, false));
+        List<DataNode> forgotten = List.of();
+        for (int i = 0; forgotten.isEmpty() && i < 100; i++) {
+            update("n" + i, Readiness.READY, false);
+            forgotten = update("n" + i, Readiness.REMOVED, false);
+        }
+        assertEquals(List.of(first), forgotten);
+        assertNull(registry.node("first"));
+    }
 }
