--- a/src/main/java/postbeam/clients/ClientConnection.java
+++ b/src/main/java/postbeam/clients/ClientConnection.java
@@ -73,6 +73,7 @@
     private final StreamConnection socket;
     private final RequestMemory.Reservation requestMemory;
     private final StreamSourceConduit input;
+    private final ClientInput clientInput;
     private final StreamSinkConduit output;
     private XnioExecutor.Key lingerTimer;
     private boolean closing;
@@ -104,7 +105,8 @@
         this.socket = socket;
         this.requestMemory = requestMemory;
         this.input = socket.getSourceChannel().getConduit();
-        setSourceConduit(new ClientInput(input, () -> closing));
+        this.clientInput = new ClientInput(input, () -> closing);
+        setSourceConduit(clientInput);
         this.output = socket.getSinkChannel().getConduit();
         setSinkConduit(new ClientOutput(output, () -> closing));
     }
@@ -132,6 +134,11 @@
         }
     }
 
+    /** Records that a request has been answered or given up, whether or not it was complete. */
+    void requestEnded() {
+        clientInput.requestEnded();
+    }
+
     /** Records that a complete request was read. */
     void requestStarted() {
         requestInProgress = true;
--- a/src/main/java/postbeam/clients/ClientInput.java
+++ b/src/main/java/postbeam/clients/ClientInput.java
@@ -13,16 +13,22 @@
  * Input for the HTTP library. After a close it returns no more bytes, while the input of the socket
  * stays open.
  *
- * <p>Each time the selector reports the socket as readable, one read returns bytes; further reads
- * return none until the next time. Otherwise the library would read and process a client's requests
- * for as long as more of them arrive: it wakes itself up by tasks of the I/O thread, which run
- * before the selector serves the other connections.
+ * <p>Each time the selector reports the socket as readable, the rest of one request may be read;
+ * further reads return nothing until the next time. Otherwise the library would read and process a
+ * client's requests for as long as more of them arrive: it wakes itself up by tasks of the I/O
+ * thread, which run before the selector serves the other connections.
  */
 final class ClientInput extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** A head and a body of the greatest lengths, but for the framing of chunks. */
+    private static final long MAX_BYTES = QueryServer.MAX_HEAD_BYTES + RequestReader.MAX_BODY_BYTES;
+
     private final BooleanSupplier closing;
 
-    /** Whether bytes were read since the selector last reported the socket as readable. */
-    private boolean hasRead;
+    /** Bytes read since the selector last reported the socket as readable. */
+    private long bytesRead;
+
+    /** Whether a request has ended since then. */
+    private boolean hasRequestEnded;
 
     /** Whether the next notification comes from the HTTP library and not from the selector. */
     private boolean wakeupRequested;
@@ -62,7 +68,8 @@
 
     private void onReadReady() {
         if (!wakeupRequested) {
-            hasRead = false;
+            bytesRead = 0;
+            hasRequestEnded = false;
         }
         wakeupRequested = false;
     }
@@ -73,8 +80,13 @@
         super.wakeupReads();
     }
 
+    /** Records that a request has been answered or given up. */
+    void requestEnded() {
+        hasRequestEnded = true;
+    }
+
     private boolean mayRead() {
-        return !closing.getAsBoolean() && !hasRead;
+        return !closing.getAsBoolean() && !hasRequestEnded && bytesRead < MAX_BYTES;
     }
 
     @Override
@@ -99,7 +111,7 @@
     }
 
     private long countRead(long bytes) {
-        hasRead |= bytes > 0;
+        bytesRead += Math.max(0, bytes);
         return bytes;
     }
 
--- a/src/main/java/postbeam/clients/QueryServer.java
+++ b/src/main/java/postbeam/clients/QueryServer.java
@@ -39,7 +39,7 @@
     static final int BUFFER_BYTES = 1024;
 
     /** Limit for a request head; heads of queries have a few hundred bytes. */
-    private static final int MAX_HEAD_BYTES = 8 << 10;
+    static final int MAX_HEAD_BYTES = 8 << 10;
 
     /**
      * Limits for the header fields and the parameters of the path. Each becomes several objects of
--- a/src/main/java/postbeam/clients/RequestDispatcher.java
+++ b/src/main/java/postbeam/clients/RequestDispatcher.java
@@ -36,7 +36,13 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long receivedAtNanos = System.nanoTime();
-        ClientConnection.of(exchange).headReceived(receivedAtNanos);
+        ClientConnection client = ClientConnection.of(exchange);
+        client.headReceived(receivedAtNanos);
+        exchange.addExchangeCompleteListener(
+                (completed, next) -> {
+                    client.requestEnded();
+                    next.proceed();
+                });
         if (context.lifecycle().isClosing()) {
             exchange.setPersistent(false);
         }
--- a/src/main/java/postbeam/clients/RequestReader.java
+++ b/src/main/java/postbeam/clients/RequestReader.java
@@ -8,7 +8,7 @@
 /** Reads one request's body without blocking, on the I/O thread, up to the protocol's limit. */
 final class RequestReader {
     /** The protocol's limit for a request body. */
-    private static final long MAX_BODY_BYTES = 64 << 10;
+    static final long MAX_BODY_BYTES = 64 << 10;
 
     static final String BODY_TOO_LARGE = "the body is over 64 KiB";
 
