Tests: the I/O thread is blocked before the client goes on

queryIsNotSubmittedIfItsClientDisconnectedBehindManyBytes failed once. The task that blocks the I/O thread was only queued: beside load the thread could read the query before it, while the client was still connected. The check is the same.

--- a/src/test/java/postbeam/clients/ClientDisconnectTest.java
+++ b/src/test/java/postbeam/clients/ClientDisconnectTest.java
@@ -132,17 +132,20 @@
     }
 
     /** Keeps the I/O thread from reading until the returned latch is released. */
-    private CountDownLatch blockIoThread() {
+    private CountDownLatch blockIoThread() throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         worker.getIoThread()
                 .execute(
                         () -> {
+                            blocked.countDown();
                             try {
                                 release.await();
                             } catch (InterruptedException e) {
                                 Thread.currentThread().interrupt();
                             }
                         });
+        blocked.await();
         return release;
     }
 
