--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import postbeam.endpoints.PollPlan;
 import postbeam.endpoints.PollTimings;
 
 /**
--- a/src/main/java/postbeam/discovery/PollPlan.java
+++ b/src/main/java/postbeam/endpoints/PollPlan.java
@@ -1,15 +1,16 @@
-package postbeam.discovery;
+package postbeam.endpoints;
 
 /**
  * Decides what a watcher requests next: the complete document, or what has changed since the
  * version that it holds. A failed poll loses nothing: the changes that its response had are those
  * since the held version, and are requested again. Uses no I/O, clock or thread.
  */
-final class PollPlan {
-    static final long NO_VERSION = -1;
+public final class PollPlan {
+    /** Stands for the version of a poll that names none. */
+    public static final long NO_VERSION = -1;
 
     /** What a poll requests. */
-    enum Request {
+    public enum Request {
         /** The complete document. */
         COMPLETE,
         /** Changes since the held version, at once. */
@@ -19,8 +20,8 @@
     }
 
     /** Why a poll failed. */
-    enum Failure {
-        /** Nothing listens: the server may have restarted, and then counts versions from anew. */
+    public enum Failure {
+        /** Nothing listens: the server may have restarted and count versions anew. */
         CONNECTION_REFUSED,
         /** The response is missing or incomplete, or the server is overloaded. */
         NO_RESPONSE,
@@ -49,32 +50,32 @@
      * @param sendsChanges whether the server answers a request for changes with less than the
      *     complete document; otherwise the complete document is requested after each failure
      */
-    PollPlan(boolean sendsChanges) {
+    public PollPlan(boolean sendsChanges) {
         this.sendsChanges = sendsChanges;
     }
 
     /** Returns what to request next. */
-    Request next() {
+    public Request next() {
         return next;
     }
 
     /** Returns the version to name in the next request; {@link #NO_VERSION} if it names none. */
-    long version() {
+    public long version() {
         return next == Request.COMPLETE ? NO_VERSION : version;
     }
 
     /** Returns the number of failures since the last update. */
-    int consecutiveFailures() {
+    public int consecutiveFailures() {
         return consecutiveFailures;
     }
 
     /** Returns the number of unusable responses since the last update. */
-    int rejections() {
+    public int rejections() {
         return rejections;
     }
 
     /** Records a response with this version, changed or not. */
-    void onUpdate(long newVersion) {
+    public void onUpdate(long newVersion) {
         version = newVersion;
         next = Request.LONG_POLL;
         consecutiveFailures = 0;
@@ -82,7 +83,7 @@
     }
 
     /** Records a failed poll. */
-    void onFailure(Failure failure) {
+    public void onFailure(Failure failure) {
         consecutiveFailures++;
         if (failure == Failure.REJECTED) {
             rejections++;
--- a/src/test/java/postbeam/discovery/PollPlanTest.java
+++ b/src/test/java/postbeam/endpoints/PollPlanTest.java
@@ -1,4 +1,4 @@
-package postbeam.discovery;
+package postbeam.endpoints;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import postbeam.discovery.PollPlan.Failure;
-import postbeam.discovery.PollPlan.Request;
+import postbeam.endpoints.PollPlan.Failure;
+import postbeam.endpoints.PollPlan.Request;
 
 class PollPlanTest {
     private final PollPlan plan = new PollPlan(true);
@@ -35,7 +35,7 @@
         assertEquals(0, plan.consecutiveFailures());
     }
 
-    /** Versions of a server that has restarted may be counted from anew. */
+    /** Versions of a server that has restarted may be counted anew. */
     @ParameterizedTest
     @EnumSource(names = {"CONNECTION_REFUSED", "REJECTED"})
     void versionIsNotUsedAgainAfterARestartOrABadResponse(Failure failure) {
