Discovery: an overdue poll stays pending while the next ones are sent

What callers saw: once discovery's agent answered each request 1.2 s late the router learned of nothing. New parts, side-effecting ones too, went to a draining node 35 s after discovery had the drain; the node turned them away. A start without a known list never became ready beside such an agent.

Cause: a poll was abandoned with its connection when its response was overdue (a long poll 0.5 s after its wait, a fetch after 0.25 s, one in twenty after 1 s), and the next one began with the same limits. The limits are what notices the return of a silent agent early; the protocol counts a change as known only 2 s after the end of a wait.

Fix: PendingPolls decides, without I/O or clock, when a poll starts and how long each stays pending. An overdue poll is kept, at the agent one until 2.1 s and one until 6 s after its response was due, while the next is sent beside it when it was sent before. The first usable response ends all others, so none that is older can follow. PollConnection has a connection and its thread. The one fetch in twenty that took 1 s is gone. While an agent is slow, one overdue poll in sixteen fetches the whole list.

Tests changed: returnOfAgentIsDetectedWithinShortestGracePeriod holds for any number of failures now; that a slow agent is reached is SlowDiscoveryTest's, in place of the one fetch in twenty. The inequality of PollScheduleTest counts with responses 2.1 s late. The tests of a stop look at the connection's thread, and that it ends. refusedConnectionsAreRetriedUntilTheServerListensAgain hung once: the closed listener took one more connection while its thread was accepting; the thread is awaited, and the wait for a connection has a limit.

--- a/src/main/java/postbeam/discovery/HttpGetClient.java
+++ b/src/main/java/postbeam/discovery/HttpGetClient.java
@@ -34,6 +34,25 @@
      */
     record Timeouts(Duration connect, Duration firstByte, Duration remainder, Duration total) {}
 
+    /** Is told of the progress of a request, on the requesting thread. */
+    interface ProgressListener {
+        /** Listener that ignores all calls. */
+        ProgressListener NONE =
+                new ProgressListener() {
+                    @Override
+                    public void onRequestSent() {}
+
+                    @Override
+                    public void onFirstByte() {}
+                };
+
+        /** The connection is established and the request was sent. */
+        void onRequestSent();
+
+        /** The first byte of the response arrived. */
+        void onFirstByte();
+    }
+
     private final String address;
     private final DeadlineInput input = new DeadlineInput();
 
@@ -50,16 +69,23 @@
         this.address = address;
     }
 
+    /** Sends a GET request without a listener; see the other method of this name. */
+    InputStream get(String path, int maxBytes, Timeouts timeouts) throws IOException {
+        return get(path, maxBytes, timeouts, ProgressListener.NONE);
+    }
+
     /**
      * Sends a GET request and returns the body of the response.
      *
      * @param path path and query of the request
      * @param maxBytes limit for the body
      * @param timeouts timeouts of the request
+     * @param listener is told of the request's progress
      * @throws IOException if no response with status 200 arrives within the limits; the message
      *     states the reason
      */
-    InputStream get(String path, int maxBytes, Timeouts timeouts) throws IOException {
+    InputStream get(String path, int maxBytes, Timeouts timeouts, ProgressListener listener)
+            throws IOException {
         input.begin(timeouts.total(), maxBytes);
         boolean reusable = false;
         try {
@@ -69,6 +95,7 @@
                 connection = connect();
             }
             connection.getOutputStream().write(request(path));
+            listener.onRequestSent();
             input.setTimeout(timeouts.firstByte());
             if (!input.hasMore()) {
                 throw new EOFException(
@@ -76,6 +103,7 @@
                                 + address
                                 + " closed before the first byte of the response");
             }
+            listener.onFirstByte();
             input.setTimeout(timeouts.remainder());
             HttpResponseReader reader = new HttpResponseReader(input, maxBytes);
             InputStream body = reader.read();
--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -4,17 +4,28 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import postbeam.endpoints.PendingPolls;
 import postbeam.endpoints.PollPlan;
 import postbeam.endpoints.PollTimings;
 
 /**
  * Watches a versioned document over HTTP by long polling. It fetches the complete document, then
- * changes; {@link PollPlan} decides what it fetches after a failure. It runs on a thread of its
- * own, which the owner starts; only {@link #stop} may be called on another thread. The watcher's
- * lock ensures that no update is delivered after a stop.
+ * changes; {@link PollPlan} decides what it fetches after a failure, and {@link PendingPolls} when,
+ * and how long each poll may take. It runs on a thread of its own, which the owner starts; only
+ * {@link #stop} may be called on another thread. Each pending poll has a {@link PollConnection},
+ * whose thread reports to the watcher's thread. The watcher's lock ensures that no update is
+ * delivered after a stop.
  *
  * @param <T> type of an update: a complete document or changes of it
  */
@@ -66,19 +77,35 @@
         }
     }
 
+    /** Time after which the client gives up a request that was not abandoned meanwhile. */
+    private static final Duration REQUEST_TIMEOUT_MARGIN = Duration.ofSeconds(1);
+
     private final Source source;
-    private final HttpGetClient http;
     private final Decoder<T> decoder;
     private final ToLongFunction<T> versionOf;
     private final Consumer<T> onUpdate;
     private final PollTimings timings;
     private final PollListener pollListener;
+    private final PollLog log;
+    private final PollPlan plan;
+    private final PendingPolls pendingPolls;
+    private final long startNanos = System.nanoTime();
+
+    /** What the threads of connections report, run on the watcher's thread. */
+    private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+
+    /** Connections of the pending polls. Only used on the watcher's thread. */
+    private final Map<PendingPolls.Poll, PollConnection> connections = new HashMap<>();
+
+    /** Connection of the last response, for the next poll; null if there is none. */
+    private PollConnection idleConnection;
+
+    /** All open connections, which {@link #stop} closes. Guarded by this. */
+    private final Set<PollConnection> openConnections = new HashSet<>();
 
     /** Set by {@link #stop} under the lock, or when the polling thread is interrupted. */
     private volatile boolean stopped;
 
-    private final PollPlan plan;
-
     /** Creates a watcher without a listener of polls. */
     public LongPollWatcher(
             Source source,
@@ -107,62 +134,185 @@
             PollTimings timings,
             PollListener pollListener) {
         this.source = source;
-        this.http = new HttpGetClient(source.address());
         this.decoder = decoder;
         this.versionOf = versionOf;
         this.onUpdate = onUpdate;
         this.timings = timings;
         this.pollListener = pollListener;
+        this.log = new PollLog(LOG, source.name(), source.address());
         this.plan = new PollPlan(source.sendsChanges());
+        this.pendingPolls = new PendingPolls(timings, plan);
     }
 
-    /** Polls until {@link #stop} is called or the thread is interrupted in a pause. */
+    /** Polls until {@link #stop} is called or the thread is interrupted. */
     @Override
     public void run() {
-        while (!stopped) {
-            try {
-                poll();
-            } catch (IOException | RuntimeException | Error e) {
-                if (stopped) {
-                    return;
-                }
-                handleFailure(e);
+        try {
+            while (!stopped) {
+                pendingPolls.startIfDue(now()).ifPresent(this::send);
+                handleEvents();
+                expirePolls();
             }
+        } catch (InterruptedException e) {
+            // The owner stops the watcher this way.
+        } finally {
+            stop();
+        }
+    }
+
+    private Duration now() {
+        return Duration.ofNanos(System.nanoTime() - startNanos);
+    }
+
+    /** Waits until an event is reported or a deadline passes, and handles all reported events. */
+    private void handleEvents() throws InterruptedException {
+        long waitNanos = pendingPolls.nextEventAt().minus(now()).toNanos();
+        Runnable event = events.poll(Math.max(0, waitNanos), TimeUnit.NANOSECONDS);
+        while (event != null && !stopped) {
+            event.run();
+            event = events.poll();
         }
     }
 
-    private void poll() throws IOException {
-        long startNanos = System.nanoTime();
-        PollPlan.Request request = plan.next();
-        long oldVersion = plan.version();
-        T update = fetch(request);
-        long newVersion = checkVersion(update);
-        if (!deliver(update)) {
+    private void expirePolls() {
+        PendingPolls.Expired expired = pendingPolls.expire(now());
+        expired.overdue().forEach(poll -> pollListener.onNoResponse());
+        abandon(expired.abandoned());
+        Duration silence = pendingPolls.silence(now());
+        if (!silence.isZero() && silence.compareTo(timings.silenceThreshold()) >= 0) {
+            log.onSilence(silence);
+        }
+    }
+
+    private void abandon(List<PendingPolls.Poll> polls) {
+        polls.forEach(this::closeConnection);
+    }
+
+    // ---- requests
+
+    private void send(PendingPolls.Poll poll) {
+        try {
+            PollConnection connection = idleConnection == null ? open() : idleConnection;
+            idleConnection = null;
+            if (connection == null) {
+                return;
+            }
+            connections.put(poll, connection);
+            Duration timeout = timings.maxDuration(poll.request()).plus(REQUEST_TIMEOUT_MARGIN);
+            connection.send(path(poll), timeout, reportTo(poll));
+        } catch (RuntimeException | Error e) {
+            // For example if no thread can be created.
+            handleFailure(poll, e);
+        }
+    }
+
+    /** Opens a connection; returns null if the watcher is stopped. */
+    private synchronized PollConnection open() {
+        if (stopped) {
+            return null;
+        }
+        PollConnection connection =
+                new PollConnection(source.name() + " poll", source.address(), source.maxBytes());
+        openConnections.add(connection);
+        return connection;
+    }
+
+    /** Closes the connection of a poll that is no longer pending, if it has one. */
+    private synchronized void closeConnection(PendingPolls.Poll poll) {
+        PollConnection connection = connections.remove(poll);
+        if (connection != null) {
+            openConnections.remove(connection);
+            connection.close();
+        }
+    }
+
+    private String path(PendingPolls.Poll poll) {
+        String query =
+                switch (poll.request()) {
+                    case COMPLETE -> "";
+                    case CATCH_UP -> changesQuery(poll, CATCH_UP_WAIT);
+                    case LONG_POLL -> changesQuery(poll, timings.longPollWait());
+                };
+        String parameters = source.queryParameters().get();
+        if (parameters.isEmpty()) {
+            return source.path() + query;
+        }
+        return source.path() + query + (query.isEmpty() ? "?" : "&") + parameters;
+    }
+
+    private static String changesQuery(PendingPolls.Poll poll, Duration wait) {
+        return "?index=" + poll.version() + "&wait=" + wait.toMillis();
+    }
+
+    /** Returns a handler that reports to the watcher's thread while the poll is pending. */
+    private PollConnection.ResponseHandler reportTo(PendingPolls.Poll poll) {
+        return new PollConnection.ResponseHandler() {
+            @Override
+            public void onRequestSent() {
+                report(() -> pendingPolls.onRequestSent(poll, now()));
+            }
+
+            @Override
+            public void onFirstByte() {
+                report(() -> pendingPolls.onFirstByte(poll, now()));
+            }
+
+            @Override
+            public void onResponse(InputStream body) {
+                report(() -> handleResponse(poll, body));
+            }
+
+            @Override
+            public void onFailure(Throwable failure) {
+                report(() -> handleFailure(poll, failure));
+            }
+
+            private void report(Runnable event) {
+                events.add(
+                        () -> {
+                            if (connections.containsKey(poll)) {
+                                event.run();
+                            }
+                        });
+            }
+        };
+    }
+
+    // ---- responses
+
+    private void handleResponse(PendingPolls.Poll poll, InputStream body) {
+        long newVersion;
+        try {
+            T update = decode(body);
+            newVersion = checkVersion(update, poll);
+            if (!deliver(update)) {
+                return;
+            }
+        } catch (IOException | RuntimeException | Error e) {
+            handleFailure(poll, e);
             return;
         }
         pollListener.onResponse();
-        if (plan.consecutiveFailures() > 0) {
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "{0} answers again, version {1}",
-                    source.name(),
-                    newVersion);
-        }
-        plan.onUpdate(newVersion);
-        // Backs off so that a server that responds at once without changes is not polled in a loop.
-        boolean early = System.nanoTime() - startNanos < timings.longPollWait().toNanos() / 2;
-        if (request == PollPlan.Request.LONG_POLL && newVersion == oldVersion && early) {
-            pause(timings.pauseAfterFailure(1, 0));
+        log.onResponse(newVersion, pendingPolls.lateness(poll, now()), now());
+        idleConnection = connections.remove(poll);
+        abandon(pendingPolls.onResponse(poll, newVersion, now()));
+    }
+
+    private T decode(InputStream body) throws IOException {
+        try {
+            return decoder.decode(body);
+        } catch (IOException e) {
+            throw new UnusableResponseException(String.valueOf(e.getMessage()), e);
         }
     }
 
     /**
-     * Rejects changes with a version older than the current one, as they do not apply to it. Any
-     * version of a complete document is accepted, except a negative one.
+     * Rejects changes with a version older than the one that the poll named, as they do not apply
+     * to it. Any version of a complete document is accepted, except a negative one.
      */
-    private long checkVersion(T update) throws UnusableResponseException {
+    private long checkVersion(T update, PendingPolls.Poll poll) throws UnusableResponseException {
         long newVersion = versionOf.applyAsLong(update);
-        long version = plan.version();
+        long version = poll.version();
         if (newVersion < Math.max(0, version)) {
             throw new UnusableResponseException(
                     "version "
@@ -183,24 +333,16 @@
         return true;
     }
 
-    private void handleFailure(Throwable failure) {
+    private void handleFailure(PendingPolls.Poll poll, Throwable failure) {
         PollPlan.Failure kind = classify(failure);
-        plan.onFailure(kind);
-        boolean firstRejection = kind == PollPlan.Failure.REJECTED && plan.rejections() == 1;
-        if (plan.consecutiveFailures() == 1 || firstRejection) {
-            LOG.log(
-                    System.Logger.Level.WARNING,
-                    "{0} at {1}: {2}; what is held stays",
-                    source.name(),
-                    source.address(),
-                    failure.toString());
-        }
+        closeConnection(poll);
+        abandon(pendingPolls.onFailure(poll, kind, now()));
+        log.onFailure(failure, kind == PollPlan.Failure.REJECTED);
         if (kind == PollPlan.Failure.REJECTED) {
             pollListener.onRejectedResponse(String.valueOf(failure.getMessage()));
         } else {
             pollListener.onNoResponse();
         }
-        pause(timings.pauseAfterFailure(plan.consecutiveFailures(), plan.rejections()));
     }
 
     private static PollPlan.Failure classify(Throwable failure) {
@@ -212,59 +354,12 @@
         return received ? PollPlan.Failure.REJECTED : PollPlan.Failure.NO_RESPONSE;
     }
 
-    private void pause(Duration duration) {
-        try {
-            Thread.sleep(duration.toMillis());
-        } catch (InterruptedException e) {
-            stopped = true;
-        }
-    }
-
-    private T fetch(PollPlan.Request request) throws IOException {
-        return switch (request) {
-            case COMPLETE -> fetchNow("");
-            case CATCH_UP -> fetchNow(changesQuery(CATCH_UP_WAIT));
-            case LONG_POLL -> awaitChanges();
-        };
-    }
-
-    private T fetchNow(String query) throws IOException {
-        Duration firstByte = timings.firstByteTimeout().apply(plan.consecutiveFailures());
-        Duration response = timings.responseTimeout();
-        return fetch(query, new HttpGetClient.Timeouts(firstByte, firstByte, response, response));
-    }
-
-    private T awaitChanges() throws IOException {
-        Duration connect = timings.firstByteTimeout().apply(plan.consecutiveFailures());
-        Duration wait = timings.longPollWait().plus(timings.longPollGrace());
-        return fetch(
-                changesQuery(timings.longPollWait()),
-                new HttpGetClient.Timeouts(connect, wait, timings.responseTimeout(), wait));
-    }
-
-    private String changesQuery(Duration wait) {
-        return "?index=" + plan.version() + "&wait=" + wait.toMillis();
-    }
-
-    private T fetch(String query, HttpGetClient.Timeouts timeouts) throws IOException {
-        String parameters = source.queryParameters().get();
-        String path = source.path() + query;
-        if (!parameters.isEmpty()) {
-            path += (query.isEmpty() ? "?" : "&") + parameters;
-        }
-        InputStream body = http.get(path, source.maxBytes(), timeouts);
-        try {
-            return decoder.decode(body);
-        } catch (IOException e) {
-            throw new UnusableResponseException(String.valueOf(e.getMessage()), e);
-        }
-    }
-
-    /** Stops polling and aborts a pending request. No update is delivered after the return. */
-    public void stop() {
-        synchronized (this) {
-            stopped = true;
-        }
-        http.close();
+    /** Stops polling and aborts pending requests. No update is delivered after the return. */
+    public synchronized void stop() {
+        stopped = true;
+        openConnections.forEach(PollConnection::close);
+        openConnections.clear();
+        // Ends the wait of the watcher's thread.
+        events.add(() -> {});
     }
 }
--- a/src/main/java/postbeam/endpoints/PollPlan.java
+++ b/src/main/java/postbeam/endpoints/PollPlan.java
@@ -36,10 +36,17 @@
      */
     private static final int COMPLETE_INTERVAL = 4;
 
+    /**
+     * The same for a server whose last response to a request for changes was late: it answers such
+     * requests, and a complete document would make it slower.
+     */
+    private static final int SLOW_SERVER_COMPLETE_INTERVAL = 16;
+
     private final boolean sendsChanges;
     private Request next = Request.COMPLETE;
     private long version = NO_VERSION;
     private int consecutiveFailures;
+    private int completeInterval = COMPLETE_INTERVAL;
 
     /** Number of unusable responses since the last update. */
     private int rejections;
@@ -64,7 +71,7 @@
         return next == Request.COMPLETE ? NO_VERSION : version;
     }
 
-    /** Returns the number of failures since the last update. */
+    /** Returns the number of failed or overdue polls since the last update. */
     public int consecutiveFailures() {
         return consecutiveFailures;
     }
@@ -74,15 +81,22 @@
         return rejections;
     }
 
-    /** Records a response with this version, changed or not. */
-    public void onUpdate(long newVersion) {
+    /**
+     * Records a response.
+     *
+     * @param answered what the answered poll requested
+     * @param newVersion version of the response, changed or not
+     */
+    public void onUpdate(Request answered, long newVersion) {
+        boolean lateChanges = answered != Request.COMPLETE && consecutiveFailures > 0;
+        completeInterval = lateChanges ? SLOW_SERVER_COMPLETE_INTERVAL : COMPLETE_INTERVAL;
         version = newVersion;
         next = Request.LONG_POLL;
         consecutiveFailures = 0;
         rejections = 0;
     }
 
-    /** Records a failed poll. */
+    /** Records a failed poll, or one that is overdue and may still be answered. */
     public void onFailure(Failure failure) {
         consecutiveFailures++;
         if (failure == Failure.REJECTED) {
@@ -91,7 +105,7 @@
         if (!sendsChanges || failure != Failure.NO_RESPONSE) {
             version = NO_VERSION;
         }
-        boolean complete = version == NO_VERSION || consecutiveFailures % COMPLETE_INTERVAL == 0;
+        boolean complete = version == NO_VERSION || consecutiveFailures % completeInterval == 0;
         next = complete ? Request.COMPLETE : Request.CATCH_UP;
     }
 }
--- a/src/main/java/postbeam/endpoints/PollTimings.java
+++ b/src/main/java/postbeam/endpoints/PollTimings.java
@@ -1,6 +1,7 @@
 package postbeam.endpoints;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import java.util.function.IntFunction;
 
@@ -9,22 +10,27 @@
  *
  * <p>Discovery limits them: changes that it had, while it could be reached, count as known to the
  * router after {@link #MAX_PROPAGATION_DELAY}, even if polls were pending, failed or were rejected.
- * Polls that begin once discovery is back are answered. The longest cycle therefore starts with a
- * poll that began just before that: a long poll that gets no response, or a fetch that takes its
- * whole timeout. The longest pause and another fetch follow. For any number of earlier failures:
+ * Polls that begin once discovery is back are answered, though maybe only {@link
+ * #MAX_SERVER_LATENESS} later. The longest cycle therefore starts with a poll that began just
+ * before that and gets no response. Once it no longer occupies the first stage of overdue polls
+ * ({@link PendingPolls}), or is abandoned where there are no such stages, the longest pause and
+ * another poll follow. For any number of earlier failures:
  *
- * <pre>max(longPollWait + longPollGrace, responseTimeout) + maxBackoff + responseTimeout
+ * <pre>max(longPollWait + patience, responseTimeout) + maxBackoff + MAX_SERVER_LATENESS
  *     &lt;= MAX_POLL_CYCLE</pre>
  *
- * <p>For a local agent, the pause and the fetch fit in twice: one more poll may fail after the
- * agent is back.
+ * <p>where the patience is the first of the lateness limits, or the grace where polls that are
+ * answered this late are not overdue yet. For a local agent that responds at once, a pause and a
+ * poll fit in several times.
  *
  * @param longPollWait how long the server is asked to wait for a change
- * @param longPollGrace how much longer the server's response may take
- * @param responseTimeout for any other response, from connecting to its last byte, and for the
- *     remainder of a long poll's response once it has begun
- * @param firstByteTimeout limit for connecting and for the first byte of a fetch's response, by the
- *     number of consecutive failures
+ * @param longPollGrace how much later the response to a long poll is overdue
+ * @param responseTimeout after which any other response is overdue, from connecting to its last
+ *     byte, and the remainder of a long poll's response once it has begun
+ * @param firstByteTimeout after which a poll is overdue that is not connected, or a fetch whose
+ *     response has not begun since it was sent
+ * @param latenessLimits how long overdue polls stay pending after their response was due, a limit
+ *     for each stage in increasing order; empty if they are abandoned at once
  * @param backoff pause before the next poll, by the number of consecutive failures
  * @param maxBackoff the longest of these pauses
  */
@@ -32,7 +38,8 @@
         Duration longPollWait,
         Duration longPollGrace,
         Duration responseTimeout,
-        IntFunction<Duration> firstByteTimeout,
+        Duration firstByteTimeout,
+        List<Duration> latenessLimits,
         IntFunction<Duration> backoff,
         Duration maxBackoff) {
 
@@ -48,30 +55,36 @@
      */
     private static final Duration SCHEDULING_MARGIN = Duration.ofMillis(500);
 
+    /**
+     * How late a response may be: a change counts as known only this long after the end of a long
+     * poll's wait; defined by the protocol.
+     */
+    private static final Duration MAX_SERVER_LATENESS = Duration.ofSeconds(2);
+
+    /** For a response that is as late as it may be, and a thread that reads it late. */
+    private static final Duration PATIENCE = MAX_SERVER_LATENESS.plusMillis(100);
+
+    /** Keeps a server useful that is later than the protocol expects. */
+    private static final Duration LONG_PATIENCE = Duration.ofSeconds(6);
+
     private static final Duration MAX_POLL_CYCLE = MAX_PROPAGATION_DELAY.minus(SCHEDULING_MARGIN);
 
     // ---- polling a local agent
 
     /**
-     * An agent on the router's own machine responds at once. A fetch whose response has not begun
-     * within this time is abandoned and repeated, so that the router recovers about 350 ms after an
-     * outage ends.
+     * An agent on the router's own machine usually responds at once. If the response to a fetch has
+     * not begun within this time, another fetch is sent, so that the router recovers about 350 ms
+     * after an outage ends.
      */
     private static final Duration AGENT_FIRST_BYTE_TIMEOUT = Duration.ofMillis(250);
 
-    /**
-     * One fetch in this many consecutive failures may take the full response timeout, since a busy
-     * machine may delay the agent. The polls between two of these, with their pauses, take 6.7 s.
-     */
-    private static final int FULL_TIMEOUT_INTERVAL = 20;
-
     private static final Duration AGENT_RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
     /** Short enough to resume a watch quickly, long enough not to use up the core in a loop. */
     private static final Duration AGENT_BACKOFF = Duration.ofMillis(100);
 
     /**
-     * One small request per second, so that a connection without responses is detected within 1.5
+     * One small request per second, so that a connection without responses is suspected within 1.5
      * s.
      */
     private static final Duration AGENT_WAIT = Duration.ofSeconds(1);
@@ -118,14 +131,15 @@
 
     /**
      * For documents without a limit on their propagation delay, from a server for which polls are
-     * cheap.
+     * cheap. One poll is pending at a time: the lease of a layout counts from its request.
      */
     public static final PollTimings RELAXED =
             new PollTimings(
                     RELAXED_WAIT,
                     RELAXED_GRACE,
                     SERVER_RESPONSE_TIMEOUT,
-                    failures -> SERVER_RESPONSE_TIMEOUT,
+                    SERVER_RESPONSE_TIMEOUT,
+                    List.of(),
                     failures -> AGENT_BACKOFF,
                     AGENT_BACKOFF);
 
@@ -135,7 +149,8 @@
                     AGENT_WAIT,
                     AGENT_GRACE,
                     AGENT_RESPONSE_TIMEOUT,
-                    PollTimings::agentFirstByteTimeout,
+                    AGENT_FIRST_BYTE_TIMEOUT,
+                    List.of(PATIENCE, LONG_PATIENCE),
                     failures -> AGENT_BACKOFF,
                     AGENT_BACKOFF);
 
@@ -149,11 +164,45 @@
                 MAX_SILENCE.minus(SERVER_GRACE),
                 SERVER_GRACE,
                 SERVER_RESPONSE_TIMEOUT,
-                failures -> SERVER_RESPONSE_TIMEOUT,
+                SERVER_RESPONSE_TIMEOUT,
+                List.of(PATIENCE),
                 failures -> jitteredBackoff(failures, pollInterval, random),
                 MAX_BACKOFF);
     }
 
+    /** Returns how long the server is asked to wait before it answers such a request. */
+    Duration wait(PollPlan.Request request) {
+        return request == PollPlan.Request.LONG_POLL ? longPollWait : Duration.ZERO;
+    }
+
+    /** Returns the time from sending such a request until its response must have begun. */
+    Duration firstByteTimeout(PollPlan.Request request) {
+        return request == PollPlan.Request.LONG_POLL
+                ? longPollWait.plus(longPollGrace)
+                : firstByteTimeout;
+    }
+
+    /** Returns the time from the start of such a poll after which its response is overdue. */
+    Duration promptTimeout(PollPlan.Request request) {
+        return request == PollPlan.Request.LONG_POLL
+                ? longPollWait.plus(longPollGrace)
+                : responseTimeout;
+    }
+
+    /** Returns the longest time that such a poll may be pending. */
+    public Duration maxDuration(PollPlan.Request request) {
+        Duration prompt = promptTimeout(request).plus(firstByteTimeout(request));
+        Duration maxLateness =
+                latenessLimits.stream().max(Duration::compareTo).orElse(Duration.ZERO);
+        Duration late = wait(request).plus(maxLateness);
+        return late.compareTo(prompt) > 0 ? late : prompt;
+    }
+
+    /** Returns how long no response may be received once one is overdue, until that is reported. */
+    public Duration silenceThreshold() {
+        return latenessLimits.stream().min(Duration::compareTo).orElse(Duration.ZERO);
+    }
+
     /**
      * Returns the pause before the next poll. It grows while responses can't be used, as each may
      * be a list of thousands of nodes, but not beyond the pauses that a poll cycle leaves room for.
@@ -172,11 +221,6 @@
         return limited.compareTo(pause) > 0 ? limited : pause;
     }
 
-    private static Duration agentFirstByteTimeout(int failures) {
-        boolean fullTimeout = failures % FULL_TIMEOUT_INTERVAL == FULL_TIMEOUT_INTERVAL - 1;
-        return fullTimeout ? AGENT_RESPONSE_TIMEOUT : AGENT_FIRST_BYTE_TIMEOUT;
-    }
-
     /**
      * Returns a random pause between half and one and a half times the mean pause after this number
      * of consecutive failures.
--- a/src/test/java/postbeam/discovery/UpdateDeadlineTest.java
+++ b/src/test/java/postbeam/discovery/UpdateDeadlineTest.java
@@ -66,6 +66,7 @@
                         timings.longPollGrace(),
                         timings.responseTimeout(),
                         timings.firstByteTimeout(),
+                        timings.latenessLimits(),
                         failureCount -> {
                             failures.add(failureCount);
                             return timings.backoff().apply(failureCount);
