Discovery: the time to connect counts towards the limit of a response

At a discovery server a connect of 1.9 s and a silence behind it took 3.9 s until the next poll, where 2 s are allowed for both, and the cycle of polls could pass 5.5 s. Found by reading. Change: one method sets every deadline of a poll that is not overdue, and limits it by the whole time. PendingPollsTest# timeToConnectCountsTowardsTheLimitOfTheResponse failed before in 1 of 2 cases (the server's), 0 of 2 now.

--- a/src/main/java/postbeam/endpoints/PendingPolls.java
+++ b/src/main/java/postbeam/endpoints/PendingPolls.java
@@ -116,18 +116,21 @@
 
     /** Records that the poll's connection is established and its request was sent. */
     public void onRequestSent(Poll poll, Duration now) {
-        if (poll.stage == PROMPT) {
-            poll.deadline = now.plus(timings.firstByteTimeout(poll.request));
-        }
+        limitPromptPoll(poll, now.plus(timings.firstByteTimeout(poll.request)));
     }
 
     /** Records that the first byte of the poll's response arrived. */
     public void onFirstByte(Poll poll, Duration now) {
-        if (poll.stage == PROMPT) {
-            Duration limit = poll.startedAt.plus(timings.promptTimeout(poll.request));
-            Duration remainder = now.plus(timings.responseTimeout());
-            poll.deadline = remainder.compareTo(limit) < 0 ? remainder : limit;
+        limitPromptPoll(poll, now.plus(timings.responseTimeout()));
+    }
+
+    /** Sets the deadline of a poll that is not overdue; its whole time is limited, too. */
+    private void limitPromptPoll(Poll poll, Duration deadline) {
+        if (poll.stage != PROMPT) {
+            return;
         }
+        Duration limit = poll.startedAt.plus(timings.promptTimeout(poll.request));
+        poll.deadline = deadline.compareTo(limit) < 0 ? deadline : limit;
     }
 
     /**
--- a/src/test/java/postbeam/endpoints/PendingPollsTest.java
+++ b/src/test/java/postbeam/endpoints/PendingPollsTest.java
@@ -205,6 +205,18 @@
         assertEquals(Duration.ofMillis(460), polls.nextEventAt());
     }
 
+    /** A slow connect followed by silence took twice the limit, and the next poll came too late. */
+    @ParameterizedTest
+    @EnumSource
+    void timeToConnectCountsTowardsTheLimitOfTheResponse(Server server) {
+        PollTimings timings = server.timings(1);
+        PendingPolls polls = new PendingPolls(timings, new PollPlan(true));
+        Poll poll = polls.startIfDue(Duration.ZERO).orElseThrow();
+        Duration connected = timings.firstByteTimeout().minusMillis(1);
+        polls.onRequestSent(poll, connected);
+        assertEquals(List.of(poll), polls.expire(timings.responseTimeout()).overdue());
+    }
+
     /** The layout's lease counts from its request, so its polls are not sent side by side. */
     @Test
     void overduePollIsAbandonedWhereNoStageIsLeft() {
