Tests: one query server on loopback for three test classes

ClientDisconnectTest, PipelinedRequestsTest and QueryServerTest set up the same worker and server, each for itself. LoopbackQueryServer has it once. PipelinedRequestsTest also asserts that each pipelined request is answered: the number of bytes is a multiple of the number of requests. It allows 64 connections, so that neither of its two is closed to keep others free; the bound on what others wait for has a name and its old value.

--- a/src/test/java/postbeam/clients/ClientDisconnectTest.java
+++ b/src/test/java/postbeam/clients/ClientDisconnectTest.java
@@ -5,14 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Collections;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -21,9 +17,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.PendingQuery;
@@ -68,17 +61,14 @@
     }
 
     private final BlockingQueue<OpenQuery> submitted = new LinkedBlockingQueue<>();
+    private LoopbackQueryServer loopback;
     private XnioWorker worker;
-    private QueryServer server;
     private Socket client;
 
     @BeforeEach
     void setUp() throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        server =
-                new QueryServer(
-                        worker,
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        loopback =
+                new LoopbackQueryServer(
                         new QueryServer.QueryHandler() {
                             @Override
                             public PendingQuery submit(ClientRequest request, Duration age) {
@@ -95,23 +85,16 @@
                                 return true;
                             }
                         },
-                        Collections.singletonMap("search", Duration.ofSeconds(3)),
-                        Set.of(),
-                        1,
-                        new ClientLimits(8, 1 << 20));
-        server.start();
-        client =
-                new Socket(
-                        InetAddress.getLoopbackAddress(),
-                        Integer.parseInt(server.address().replaceAll(".*:", "")));
+                        8);
+        worker = loopback.worker;
+        client = loopback.connect();
         client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(10));
     }
 
     @AfterEach
     void tearDown() throws IOException {
         client.close();
-        server.stop();
-        worker.shutdownNow();
+        loopback.close();
     }
 
     private static byte[] query(String id) {
--- a/src/test/java/postbeam/clients/PipelinedRequestsTest.java
+++ b/src/test/java/postbeam/clients/PipelinedRequestsTest.java
@@ -1,25 +1,18 @@
 package postbeam.clients;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 import postbeam.dispatch.ClientRequest;
 import postbeam.dispatch.PendingQuery;
 
@@ -28,14 +21,19 @@
 class PipelinedRequestsTest {
     private static final int REQUESTS = 20_000;
 
+    /** So many that neither connection is closed early to keep others free. */
+    private static final int MAX_CONNECTIONS = 64;
+
+    /** Part of the requests that may be answered before another client is. */
+    private static final int MAX_PART_BEFORE_OTHERS = 4;
+
     /** Malformed, so that it is answered on the I/O thread, and in many small chunks. */
     private static final String REQUEST =
             "POST /search HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n"
                     + "1\r\n{\r\n".repeat(12)
                     + "0\r\n\r\n";
 
-    private XnioWorker worker;
-    private QueryServer server;
+    private LoopbackQueryServer server;
 
     /** Bytes of the responses to the pipelined requests. */
     private final AtomicLong responseBytes = new AtomicLong();
@@ -45,11 +43,8 @@
 
     @BeforeEach
     void setUp() throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         server =
-                new QueryServer(
-                        worker,
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new LoopbackQueryServer(
                         new QueryServer.QueryHandler() {
                             @Override
                             public PendingQuery submit(ClientRequest request, Duration age) {
@@ -62,23 +57,12 @@
                                 return true;
                             }
                         },
-                        Map.of("search", Duration.ofSeconds(3)),
-                        Set.of("acme"),
-                        1,
-                        new ClientLimits(8, 1 << 20));
-        server.start();
+                        MAX_CONNECTIONS);
     }
 
     @AfterEach
     void tearDown() {
-        server.stop();
-        worker.shutdownNow();
-    }
-
-    private Socket connect() throws IOException {
-        return new Socket(
-                InetAddress.getLoopbackAddress(),
-                Integer.parseInt(server.address().replaceAll(".*:", "")));
+        server.close();
     }
 
     private interface Task {
@@ -118,8 +102,8 @@
     /** A client that pipelined small requests kept others waiting until it paused, for seconds. */
     @Test
     void clientWithEndlessRequestsDoesNotDelayOthers() throws Exception {
-        try (Socket flooding = connect();
-                Socket other = connect()) {
+        try (Socket flooding = server.connect();
+                Socket other = server.connect()) {
             checkHealth(other);
             Thread reader = start(() -> countResponses(flooding));
             byte[] block = REQUEST.repeat(100).getBytes(StandardCharsets.US_ASCII);
@@ -140,8 +124,9 @@
             writer.join();
             reader.join();
             long answeredMeanwhile = answeredAfter - sentAfter;
+            assertEquals(0, responseBytes.get() % REQUESTS, "a request was not answered");
             assertTrue(
-                    answeredMeanwhile < responseBytes.get() / 4,
+                    answeredMeanwhile < responseBytes.get() / MAX_PART_BEFORE_OTHERS,
                     answeredMeanwhile
                             + " of "
                             + responseBytes.get()
--- a/src/test/java/postbeam/clients/QueryServerTest.java
+++ b/src/test/java/postbeam/clients/QueryServerTest.java
@@ -6,25 +6,18 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import postbeam.dispatch.ClientRequest;
@@ -32,6 +25,7 @@
 
 @Timeout(30)
 class QueryServerTest {
+    private LoopbackQueryServer loopback;
     private XnioWorker worker;
     private QueryServer server;
     private Socket client;
@@ -41,11 +35,8 @@
 
     @BeforeEach
     void setUp() throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        server =
-                new QueryServer(
-                        worker,
-                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        loopback =
+                new LoopbackQueryServer(
                         new QueryServer.QueryHandler() {
                             @Override
                             public PendingQuery submit(ClientRequest clientRequest, Duration age) {
@@ -62,15 +53,10 @@
                                 return Optional.ofNullable(warning);
                             }
                         },
-                        Map.of(),
-                        Set.of(),
-                        1,
-                        new ClientLimits(8, 1 << 20));
-        server.start();
-        client =
-                new Socket(
-                        InetAddress.getLoopbackAddress(),
-                        Integer.parseInt(server.address().replaceAll(".*:", "")));
+                        8);
+        worker = loopback.worker;
+        server = loopback.server;
+        client = loopback.connect();
         responses =
                 new BufferedReader(
                         new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
@@ -79,8 +65,7 @@
     @AfterEach
     void tearDown() throws IOException {
         client.close();
-        server.stop();
-        worker.shutdownNow();
+        loopback.close();
     }
 
     private void sendRequest() throws IOException {
@@ -164,10 +149,7 @@
         client.close();
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            client =
-                    new Socket(
-                            InetAddress.getLoopbackAddress(),
-                            Integer.parseInt(server.address().replaceAll(".*:", "")));
+            client = loopback.connect();
             clients.add(client);
             sendRequest();
         }
@@ -198,10 +180,7 @@
         block(acceptingThread(), release);
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            client =
-                    new Socket(
-                            InetAddress.getLoopbackAddress(),
-                            Integer.parseInt(server.address().replaceAll(".*:", "")));
+            client = loopback.connect();
             clients.add(client);
             sendRequest();
         }
