--- a/src/test/java/postbeam/endpoints/PollPlanTest.java
+++ b/src/test/java/postbeam/endpoints/PollPlanTest.java
@@ -71,6 +71,20 @@
                 requests);
     }
 
+    /** Whole lists of thousands of nodes would make a slow server slower. */
+    @Test
+    void slowServerThatSendsChangesIsRarelyAskedForTheCompleteDocument() {
+        plan.onUpdate(Request.LONG_POLL, 7);
+        plan.onFailure(Failure.NO_RESPONSE);
+        plan.onUpdate(Request.LONG_POLL, 7);
+        for (int failure = 1; failure < 16; failure++) {
+            plan.onFailure(Failure.NO_RESPONSE);
+            assertNext(Request.CATCH_UP, 7);
+        }
+        plan.onFailure(Failure.NO_RESPONSE);
+        assertNext(Request.COMPLETE, PollPlan.NO_VERSION);
+    }
+
     @Test
     void completeDocumentIsRequestedFromAServerThatSendsNoChanges() {
         PollPlan layouts = new PollPlan(false);
--- a/src/test/java/postbeam/endpoints/PollScheduleTest.java
+++ b/src/test/java/postbeam/endpoints/PollScheduleTest.java
@@ -115,6 +115,21 @@
         return pendingPoll + timings.maxBackoff().toMillis() + fetch;
     }
 
+    /**
+     * Returns the longest time until a poll is overdue that began before discovery was back, plus
+     * the longest pause and a fetch that is not late, plus one more pause and fetch for each poll
+     * that fails afterwards.
+     */
+    private static long cycleOfPromptServerMillis(PollTimings timings, int failuresAfterRecovery) {
+        long overdue =
+                Math.max(
+                        timings.longPollWait().plus(timings.longPollGrace()).toMillis(),
+                        timings.responseTimeout().toMillis());
+        return overdue
+                + (1 + failuresAfterRecovery)
+                        * (timings.maxBackoff().toMillis() + timings.responseTimeout().toMillis());
+    }
+
     @Test
     void pollCycleIsWithinThePropagationDelayForAllTimings() {
         int checkedTimings = 0;
@@ -145,6 +160,9 @@
         assertTrue(
                 worstCycleMillis(PollTimings.LOCAL_AGENT) <= MAX_CYCLE_MILLIS,
                 "local agent: " + worstCycleMillis(PollTimings.LOCAL_AGENT));
+        assertTrue(
+                cycleOfPromptServerMillis(PollTimings.LOCAL_AGENT, 1) <= MAX_CYCLE_MILLIS,
+                "local agent: " + cycleOfPromptServerMillis(PollTimings.LOCAL_AGENT, 1));
         for (int failures = 0; failures <= 200; failures++) {
             assertEquals(
                     PollTimings.LOCAL_AGENT.maxBackoff(),
