Discovery: polls sent before a suspension no longer end the wait for a recent list

Cause: queries of a resumed router wait until a poll has ended. A poll that was pending during the suspension counted: its response stood in the socket's buffer with the old list, or its deadline had passed. The next poll goes out at once, but a query could be sent before its response came.

Change: PendingPolls notices that no poll has ended for longer than a running process can be without, abandons all pending polls uncounted, and requests the changes at once. Checked before each event of a poll.

--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -175,10 +175,12 @@
     }
 
     private void expirePolls() {
-        PendingPolls.Expired expired = pendingPolls.expire(now());
+        Duration now = now();
+        abandon(pendingPolls.abandonIfSuspended(now));
+        PendingPolls.Expired expired = pendingPolls.expire(now);
         expired.overdue().forEach(poll -> pollListener.onNoResponse());
         abandon(expired.abandoned());
-        Duration silence = pendingPolls.silence(now());
+        Duration silence = pendingPolls.silence(now);
         if (!silence.isZero() && silence.compareTo(timings.silenceThreshold()) >= 0) {
             log.onSilence(silence);
         }
@@ -270,6 +272,7 @@
             private void report(Runnable event) {
                 events.add(
                         () -> {
+                            abandon(pendingPolls.abandonIfSuspended(now()));
                             if (connections.containsKey(poll)) {
                                 event.run();
                             }
--- a/src/main/java/postbeam/discovery/PollListener.java
+++ b/src/main/java/postbeam/discovery/PollListener.java
@@ -1,6 +1,9 @@
 package postbeam.discovery;
 
-/** Is told how each poll of a watched document ended. Called on the watcher's thread. */
+/**
+ * Is told how each poll of a watched document ended, except for polls that were pending while the
+ * process was suspended. Called on the watcher's thread.
+ */
 public interface PollListener {
     /** Listener that ignores all calls. */
     PollListener NONE =
--- a/src/main/java/postbeam/endpoints/PendingPolls.java
+++ b/src/main/java/postbeam/endpoints/PendingPolls.java
@@ -73,6 +73,9 @@
     /** When the first response became overdue since the last one arrived; null if none is. */
     private Duration overdueSince;
 
+    /** When a poll last ended or became overdue, or the first one started; null before that. */
+    private Duration lastEndAt;
+
     /** Creates a schedule whose first poll is due at once. */
     public PendingPolls(PollTimings timings, PollPlan plan) {
         this.timings = timings;
@@ -87,6 +90,9 @@
         Poll poll = new Poll(plan.next(), plan.version(), now);
         poll.deadline = now.plus(timings.firstByteTimeout());
         polls.add(poll);
+        if (lastEndAt == null) {
+            lastEndAt = now;
+        }
         return Optional.of(poll);
     }
 
@@ -145,6 +151,7 @@
         boolean unchanged = newVersion == poll.version;
         plan.onUpdate(poll.request, newVersion);
         overdueSince = null;
+        lastEndAt = now;
         nextPollAt = now;
         if (poll.request == PollPlan.Request.LONG_POLL && unchanged && early) {
             // A server that responds at once without changes is not polled in a loop.
@@ -161,6 +168,7 @@
      */
     public List<Poll> onFailure(Poll poll, PollPlan.Failure failure, Duration now) {
         polls.remove(poll);
+        lastEndAt = now;
         boolean countedAsOverdue = poll.stage != PROMPT;
         if (failure == PollPlan.Failure.NO_RESPONSE && countedAsOverdue) {
             return List.of();
@@ -169,6 +177,26 @@
         return failure == PollPlan.Failure.NO_RESPONSE ? List.of() : removeAll();
     }
 
+    /**
+     * Ends all polls if the process was suspended, and makes a poll due that is answered at once:
+     * the pending responses may have arrived long ago, and what they state may be out of date.
+     *
+     * @return the polls that are no longer pending
+     */
+    public List<Poll> abandonIfSuspended(Duration now) {
+        boolean running =
+                lastEndAt == null
+                        || now.minus(lastEndAt).compareTo(timings.suspensionThreshold()) < 0;
+        if (running) {
+            return List.of();
+        }
+        plan.onFailure(PollPlan.Failure.NO_RESPONSE);
+        lastEndAt = now;
+        overdueSince = null;
+        nextPollAt = now;
+        return removeAll();
+    }
+
     /** Moves polls whose time has passed to the next stage, or abandons them. */
     public Expired expire(Duration now) {
         List<Poll> overdue = new ArrayList<>();
@@ -191,6 +219,7 @@
 
     private void recordOverdue(Poll poll, Duration now) {
         poll.overdueAt = now;
+        lastEndAt = now;
         if (overdueSince == null) {
             overdueSince = now;
         }
--- a/src/main/java/postbeam/endpoints/PollTimings.java
+++ b/src/main/java/postbeam/endpoints/PollTimings.java
@@ -67,6 +67,9 @@
     /** Keeps a server useful that is later than the protocol expects. */
     private static final Duration LONG_PATIENCE = Duration.ofSeconds(6);
 
+    /** How much later than scheduled a thread of a running process may act. */
+    private static final Duration SUSPENSION_MARGIN = Duration.ofMillis(1_500);
+
     private static final Duration MAX_POLL_CYCLE = MAX_PROPAGATION_DELAY.minus(SCHEDULING_MARGIN);
 
     // ---- polling a local agent
@@ -203,6 +206,15 @@
         return latenessLimits.stream().min(Duration::compareTo).orElse(Duration.ZERO);
     }
 
+    /**
+     * Returns the time without the end of a poll, or one that became overdue, after which the
+     * process must have been suspended: longer than a poll and the pause before it.
+     */
+    public Duration suspensionThreshold() {
+        Duration pause = maxBackoff.compareTo(MAX_BACKOFF) > 0 ? maxBackoff : MAX_BACKOFF;
+        return promptTimeout(PollPlan.Request.LONG_POLL).plus(pause).plus(SUSPENSION_MARGIN);
+    }
+
     /**
      * Returns the pause before the next poll. It grows while responses can't be used, as each may
      * be a list of thousands of nodes, but not beyond the pauses that a poll cycle leaves room for.
--- a/src/main/java/postbeam/router/DiscoveryFreshness.java
+++ b/src/main/java/postbeam/router/DiscoveryFreshness.java
@@ -13,7 +13,7 @@
      * Time since the last poll after which the endpoint list counts as out of date; longer than a
      * poll and the pause after it can take while the process is running.
      */
-    private static final Duration STALE_AFTER = Duration.ofSeconds(5);
+    static final Duration STALE_AFTER = Duration.ofSeconds(5);
 
     /**
      * Maximum time for which queries wait for a poll; long enough for the pause before a poll and
@@ -31,8 +31,8 @@
     private Duration waitingSince;
 
     /**
-     * Records that a poll of discovery ended, with or without a response. Safe to call on any
-     * thread.
+     * Records that a poll of discovery ended, with or without a response. A poll that was sent
+     * before a suspension must not be recorded. Safe to call on any thread.
      */
     void onPollEnd() {
         lastPollNanos = System.nanoTime();
--- a/src/main/java/postbeam/testbed/fakes/FakeDiscovery.java
+++ b/src/main/java/postbeam/testbed/fakes/FakeDiscovery.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,9 @@
 
     private boolean half;
 
+    /** How much later than due the response to a request is sent. */
+    private volatile Duration responseDelay = Duration.ZERO;
+
     /** Listens on a free port of the loopback interface and lists no host. */
     public FakeDiscovery() throws IOException {
         this(null);
@@ -71,6 +75,11 @@
         notifyAll();
     }
 
+    /** Responses to requests that arrive from now on are sent this much later than they are due. */
+    public void delayResponses(Duration delay) {
+        responseDelay = delay;
+    }
+
     /** One host as it stands in the list. */
     public static String hostEntry(
             String name, String dial, String zone, String health, long bornMs) {
@@ -113,7 +122,9 @@
                     // Headers say nothing here.
                 }
                 requestedPaths.add(path);
+                Duration delay = responseDelay;
                 byte[] body = body(path).getBytes(StandardCharsets.UTF_8);
+                Thread.sleep(delay.toMillis());
                 socket.getOutputStream()
                         .write(
                                 ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
--- a/src/test/java/postbeam/endpoints/PendingPollsTest.java
+++ b/src/test/java/postbeam/endpoints/PendingPollsTest.java
@@ -78,6 +78,7 @@
         /** Returns when the change was known, in milliseconds. */
         long run() {
             for (now = 0; now < RUN_MILLIS && held < 2; now++) {
+                assertEquals(List.of(), polls.abandonIfSuspended(time()));
                 start();
                 answer();
                 polls.expire(time()).abandoned().forEach(answerAt::remove);
@@ -217,6 +218,26 @@
         assertEquals(List.of(poll), polls.expire(timings.responseTimeout()).overdue());
     }
 
+    /**
+     * A response that arrived during a suspension was taken for a recent one, and queries were
+     * routed by the list of that time.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void pendingPollsEndIfTheProcessWasSuspended(Server server) {
+        PollTimings timings = server.timings(1);
+        PendingPolls polls = new PendingPolls(timings, new PollPlan(true));
+        Poll first = polls.startIfDue(Duration.ZERO).orElseThrow();
+        polls.onResponse(first, 7, Duration.ofMillis(1));
+        Poll pending = polls.startIfDue(Duration.ofMillis(2)).orElseThrow();
+        Duration resumed = Duration.ofMillis(1).plus(timings.suspensionThreshold());
+        assertEquals(List.of(), polls.abandonIfSuspended(resumed.minusMillis(1)));
+        assertEquals(List.of(pending), polls.abandonIfSuspended(resumed));
+        Poll next = polls.startIfDue(resumed).orElseThrow();
+        assertEquals(PollPlan.Request.CATCH_UP, next.request());
+        assertEquals(List.of(), polls.abandonIfSuspended(resumed.plusMillis(1)));
+    }
+
     /** The layout's lease counts from its request, so its polls are not sent side by side. */
     @Test
     void overduePollIsAbandonedWhereNoStageIsLeft() {
--- a/src/test/java/postbeam/router/RouterIT.java
+++ b/src/test/java/postbeam/router/RouterIT.java
@@ -18,6 +18,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -1234,6 +1235,45 @@
         }
     }
 
+    /**
+     * The response to a poll sent before the suspension ended the wait for a recent list: it stood
+     * in the socket's buffer, with the list of that time.
+     */
+    @Test
+    void resumedRouterAwaitsResponseToPollSentAfterSuspension() throws Exception {
+        startAndAwaitReady();
+        assertEquals("200", exchange(query("lookup", "q0", 3000, 0)).substring(0, 3));
+        suspendProgram();
+        Thread.sleep(6000);
+        discovery.tell(node.hostEntry("n1", "draining"));
+        discovery.delayResponses(Duration.ofMillis(150));
+        try (Socket client = connect()) {
+            write(client, query("hold", "resumed", 3000, 0));
+            sendSignal("CONT");
+            assertEquals("503", readResponse(client).substring(0, 3));
+        }
+        assertFalse(
+                node.frames.stream().anyMatch(frame -> frame.startsWith("m resumed")),
+                node.frames.toString());
+    }
+
+    /** A router that resumes beside an unchanged list need not wait for a change of it. */
+    @Test
+    void resumedRouterAnswersSoonIfListIsUnchanged() throws Exception {
+        startAndAwaitReady();
+        assertEquals("200", exchange(query("lookup", "q0", 3000, 0)).substring(0, 3));
+        suspendProgram();
+        Thread.sleep(6000);
+        try (Socket client = connect()) {
+            write(client, query("hold", "resumed", 3000, 0));
+            sendSignal("CONT");
+            long resumedNanos = System.nanoTime();
+            assertEquals("200", readResponse(client).substring(0, 3));
+            Duration wait = Duration.ofNanos(System.nanoTime() - resumedNanos);
+            assertTrue(wait.compareTo(Duration.ofMillis(500)) < 0, wait.toString());
+        }
+    }
+
     /**
      * The client keeps sending on its connection. A close over unread bytes would be a reset, which
      * could discard the answer.
