Moves: only an operator's statement spares an unlisted holder from being fenced

Cause: the state machine inferred from the source of the copy that an unlisted old holder had been lost before the move was planned. A draining holder is never the source, so one that left the list later was taken for lost.

Change: a transfer states whether the old holder is dead. Only a request of an operator can; the statement is stored with the planned move, and its absence, as in all older journals, means that the holder must be fenced. Transfers off unlisted holders without it are rejected, so targets, migrations and reverse moves no longer make them either. Stored forms of all other records and the recorded answers are unchanged.

Two tests planned a move off an unlisted holder without a word; they now state that it is dead and check as much as before.

--- a/src/main/java/postbeam/layoutservice/LayoutChangeCodec.java
+++ b/src/main/java/postbeam/layoutservice/LayoutChangeCodec.java
@@ -41,11 +41,14 @@
         json.writeNumberField("move", transfer.slice());
         JsonFields.writeOptionalText(json, "off", transfer.from());
         JsonFields.writeOptionalText(json, "onto", transfer.to());
+        if (transfer.fromIsDead()) {
+            json.writeBooleanField("dead", true);
+        }
     }
 
     /**
      * Reads {@code {"split": 3, "at": [KEY]}}, {@code {"merge": [3, 4]}} or {@code {"move": 3,
-     * "off": "n1", "onto": "n2"}}.
+     * "off": "n1", "onto": "n2"}}, the last one with {@code "dead": true} if n1 is dead.
      *
      * @throws IOException the object has none of these forms
      */
@@ -69,7 +72,11 @@
         if (from == null && to == null) {
             throw new IOException("a change with move must also have off, onto or both");
         }
-        return new LayoutChange.Transfer(JsonFields.integer(object, "move"), from, to);
+        boolean fromIsDead = object.containsKey("dead") && JsonFields.flag(object, "dead");
+        if (from == null && fromIsDead) {
+            throw new IOException("a change with dead must also have off");
+        }
+        return new LayoutChange.Transfer(JsonFields.integer(object, "move"), from, to, fromIsDead);
     }
 
     // ---- targets
--- a/src/main/java/postbeam/layoutservice/LayoutRequestHandler.java
+++ b/src/main/java/postbeam/layoutservice/LayoutRequestHandler.java
@@ -122,7 +122,18 @@
         }
         long id = state().nextMove();
         LayoutChange change = LayoutChangeCodec.readChange(body);
-        return command(coordinator.plan(change, now), "move " + id + ": " + change);
+        return command(
+                coordinator.plan(change, now), "move " + id + ": " + change + warning(change));
+    }
+
+    /** What an operator risks with the change; empty if nothing beyond the usual. */
+    private static String warning(LayoutChange change) {
+        return change instanceof LayoutChange.Transfer transfer && transfer.fromIsDead()
+                ? "; "
+                        + transfer.from()
+                        + " is not fenced while it is not listed: if it is not dead, two sets of"
+                        + " holders accept calls, and what it accepts is lost"
+                : "";
     }
 
     private OperatorResponse abandon(OperatorRequest request, Duration now) {
--- a/src/main/java/postbeam/layoutservice/LayoutsCommand.java
+++ b/src/main/java/postbeam/layoutservice/LayoutsCommand.java
@@ -53,7 +53,7 @@
             description =
                     "plan, start, migrate: the JSON itself, such as {\"split\": 3, \"at\": [KEY]},"
                             + " {\"merge\": [3, 4]} or {\"move\": 3, \"off\": \"n1\", \"onto\":"
-                            + " \"n2\"}")
+                            + " \"n2\"}, with \"dead\": true if n1 is dead and no longer listed")
     private String change;
 
     @Parameter(names = "--move", description = "abandon: the number of the move")
--- a/src/main/java/postbeam/slices/ChangePlanner.java
+++ b/src/main/java/postbeam/slices/ChangePlanner.java
@@ -92,11 +92,12 @@
     private Optional<String> transferProblem(LayoutChange.Transfer transfer, Layout changed) {
         Optional<String> problem =
                 transfer.to() == null ? Optional.empty() : destinationProblem(transfer);
-        return problem.or(
-                () ->
-                        replicationProblem(
-                                state.layout().slice(transfer.slice()),
-                                changed.slice(transfer.slice())));
+        return problem.or(() -> oldHolderProblem(transfer))
+                .or(
+                        () ->
+                                replicationProblem(
+                                        state.layout().slice(transfer.slice()),
+                                        changed.slice(transfer.slice())));
     }
 
     private Optional<String> destinationProblem(LayoutChange.Transfer transfer) {
@@ -115,6 +116,36 @@
                 : Optional.of("slice " + transfer.slice() + " has no holder left to copy from");
     }
 
+    /**
+     * A holder that is not listed can't be fenced, but may be cut off from the coordinator alone
+     * and still accept calls. Only an operator can know that it is dead.
+     */
+    private Optional<String> oldHolderProblem(LayoutChange.Transfer transfer) {
+        String from = transfer.from();
+        if (from == null) {
+            return Optional.empty();
+        }
+        if (nodes.isGone(from) && !transfer.fromIsDead()) {
+            return Optional.of(
+                    "holder "
+                            + from
+                            + " of slice "
+                            + transfer.slice()
+                            + " is no longer listed by discovery and can't be fenced: if it is only"
+                            + " cut off it still accepts calls, and what they write is lost; if it"
+                            + " is dead, start the move with \"dead\": true");
+        }
+        if (transfer.fromIsDead() && !nodes.isUnlisted(from)) {
+            return Optional.of(
+                    "holder "
+                            + from
+                            + " of slice "
+                            + transfer.slice()
+                            + " is listed by discovery: start the move without \"dead\"");
+        }
+        return Optional.empty();
+    }
+
     /**
      * A split or merge is planned only if no holder of the slice has been removed from the node
      * list, since each holder registers its data under the new slice numbers.
--- a/src/main/java/postbeam/slices/LayoutChange.java
+++ b/src/main/java/postbeam/slices/LayoutChange.java
@@ -65,18 +65,30 @@
      *
      * @param from the holder to remove; null if a holder is only added
      * @param to the node to add; null if a holder is only removed
+     * @param fromIsDead whether an operator states that the holder to remove is dead, so that it
+     *     need not be fenced while it is not listed
      */
-    record Transfer(int slice, String from, String to) implements LayoutChange {
+    record Transfer(int slice, String from, String to, boolean fromIsDead) implements LayoutChange {
         /**
          * Creates a transfer.
          *
-         * @throws IllegalArgumentException if both nodes are null
+         * @throws IllegalArgumentException if both nodes are null, or the holder to remove is
+         *     stated to be dead but not named
          */
         public Transfer {
             if (from == null && to == null) {
                 throw new IllegalArgumentException(
                         "a move of slice " + slice + " needs a node to move from or to, got none");
             }
+            if (from == null && fromIsDead) {
+                throw new IllegalArgumentException(
+                        "a move of slice " + slice + " off a dead node must name that node");
+            }
+        }
+
+        /** Creates a transfer whose holder to remove, if any, must be fenced. */
+        public Transfer(int slice, String from, String to) {
+            this(slice, from, to, false);
         }
 
         @Override
--- a/src/main/java/postbeam/slices/Move.java
+++ b/src/main/java/postbeam/slices/Move.java
@@ -204,6 +204,17 @@
         return mayBeFenced;
     }
 
+    /**
+     * Whether an operator stated that the node, an old holder, is dead. Any other old holder must
+     * be fenced before the cut-over even if it is not listed: it may be cut off from the
+     * coordinator alone and still accept calls.
+     */
+    boolean isStatedDead(String node) {
+        return change instanceof LayoutChange.Transfer transfer
+                && transfer.fromIsDead()
+                && node.equals(transfer.from());
+    }
+
     /** Whether the new layout is in force. */
     public boolean isCutOver() {
         return state == MoveState.CUT_OVER || state == MoveState.COMPLETED;
--- a/src/main/java/postbeam/slices/MoveStateMachine.java
+++ b/src/main/java/postbeam/slices/MoveStateMachine.java
@@ -106,20 +106,19 @@
     /**
      * Fences the old holders first, then lets the destinations serve, then cuts over: at no time do
      * nodes accept calls of both layout versions for the slice. An old holder that is no longer
-     * listed after it was fenced does not stop the move.
+     * listed after it was fenced does not stop the move, nor one that an operator stated to be dead
+     * while it is not listed.
      */
     private void fenceAndCutOver(ActionList actions, Move move) {
         boolean fenced = true;
         for (Move.OldHolder holder : move.oldHolders) {
             boolean acknowledged = commands.send(actions, move, HandoffCommand.FENCE, holder);
-            boolean gone = nodes.isGone(holder.node());
-            if (!acknowledged && gone && !canSkipFencing(move, holder.node())) {
-                // The unlisted node may only be unreachable for the coordinator and still accept
-                // calls of the old layout version.
+            boolean dead = move.isStatedDead(holder.node()) && nodes.isUnlisted(holder.node());
+            if (!acknowledged && !dead && nodes.isGone(holder.node())) {
                 abandon(actions, move, goneReason(holder.node()) + " before it was fenced");
                 return;
             }
-            fenced &= acknowledged || gone;
+            fenced &= acknowledged || dead;
         }
         Optional<String> gone =
                 move.destinations.stream()
@@ -143,17 +142,6 @@
         }
     }
 
-    /**
-     * Whether the move may cut over although this old holder, which is no longer listed, was not
-     * fenced. That is so for a transfer that copies from another node or copies nothing: it was
-     * planned without the data of this holder.
-     */
-    private static boolean canSkipFencing(Move move, String node) {
-        return move.change instanceof LayoutChange.Transfer
-                && move.destinations.stream()
-                        .noneMatch(destination -> destination.source().equals(node));
-    }
-
     /** Has the old holders drop their data, and completes the move. */
     private void dropOldCopies(ActionList actions, Move move) {
         if (move.reverseWhenDone() && move.change instanceof LayoutChange.Transfer) {
--- a/src/main/java/postbeam/slices/NodeStates.java
+++ b/src/main/java/postbeam/slices/NodeStates.java
@@ -62,6 +62,13 @@
         return info != null && info.readiness() == Readiness.REMOVED;
     }
 
+    /** Whether there is a node list and the node is not on it, whether or not it ever was. */
+    boolean isUnlisted(String node) {
+        TargetLayout.NodeInfo info = nodes.get(node);
+        boolean listed = info != null && info.readiness() != Readiness.REMOVED;
+        return !nodes.isEmpty() && !listed;
+    }
+
     /** The names of the nodes that were listed once and are no longer. */
     Set<String> gone() {
         Set<String> gone = new LinkedHashSet<>();
--- a/src/main/java/postbeam/slices/SlicePlacement.java
+++ b/src/main/java/postbeam/slices/SlicePlacement.java
@@ -41,10 +41,11 @@
     }
 
     /**
-     * Transfers that replace holders whose nodes are no longer listed. Each goes to a ready node,
-     * preferably in a zone without a holder of the slice, and among these to the node that holds
-     * the fewest slices. Slices with the fewest listed holders come first. A slice without a listed
-     * holder is left out, since no node has its data.
+     * Transfers that replace holders whose nodes are no longer listed, for operators who know that
+     * these are dead. Each goes to a ready node, preferably in a zone without a holder of the
+     * slice, and among these to the node that holds the fewest slices. Slices with the fewest
+     * listed holders come first. A slice without a listed holder is left out, since no node has its
+     * data.
      *
      * @param gone names of the nodes that were listed once and are no longer
      * @param busy the slices that moves under way concern; they are left out
@@ -72,7 +73,8 @@
                     .ifPresent(
                             to -> {
                                 slicesHeld.merge(to, 1, Integer::sum);
-                                repairs.add(new LayoutChange.Transfer(slice.number(), from, to));
+                                repairs.add(
+                                        new LayoutChange.Transfer(slice.number(), from, to, true));
                             });
         }
         return repairs;
--- a/src/test/java/postbeam/layoutservice/StoredMoveRecordsTest.java
+++ b/src/test/java/postbeam/layoutservice/StoredMoveRecordsTest.java
@@ -286,6 +286,19 @@
         Samples.assertSameLines("move-records.jsonl", written);
     }
 
+    /** A stored transfer without the member must fence the old holder; see the recorded lines. */
+    @Test
+    void statementThatTheOldHolderIsDeadIsStored() throws IOException {
+        String line =
+                "{\"kind\":\"planned\",\"move\":13,\"at_ms\":1700000000123,\"change\":{\"move\":2,"
+                    + "\"off\":\"n1\",\"onto\":\"n3\",\"dead\":true},\"births\":[],\"source\":\"n2\"}";
+        JournalRecord record =
+                new JournalRecord.Planned(
+                        13, new LayoutChange.Transfer(2, "n1", "n3", true), List.of(), "n2", AT);
+        assertEquals(line, new String(MoveRecordCodec.write(record), StandardCharsets.UTF_8));
+        assertEquals(record, MoveRecordCodec.read(line.getBytes(StandardCharsets.UTF_8)));
+    }
+
     @Test
     void writingRecordsOfEveryKindProducesRecordedLines() {
         List<String> written = new ArrayList<>();
--- a/src/test/java/postbeam/slices/ChangePlannerTest.java
+++ b/src/test/java/postbeam/slices/ChangePlannerTest.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import postbeam.model.Readiness;
 
@@ -47,6 +48,25 @@
         assertEquals(before, records.size());
     }
 
+    /** Only an operator can know whether a holder that is not listed is dead or cut off. */
+    @Test
+    void transferOffUnlistedHolderNeedsTheStatementThatItIsDead() {
+        LayoutChange transfer = new LayoutChange.Transfer(0, "a", "c");
+        LayoutChange offDeadHolder = new LayoutChange.Transfer(0, "a", "c", true);
+        assertEquals(
+                "holder a of slice 0 is listed by discovery: start the move without \"dead\"",
+                coordinator.rejectionReason(offDeadHolder).orElseThrow());
+        setReadiness("a", Readiness.REMOVED);
+        assertTrue(
+                coordinator
+                        .rejectionReason(transfer)
+                        .orElseThrow()
+                        .startsWith(
+                                "holder a of slice 0 is no longer listed by discovery and can't be"
+                                        + " fenced"));
+        assertEquals(Optional.empty(), coordinator.rejectionReason(offDeadHolder));
+    }
+
     @Test
     void invalidTargetIsRejectedWithOneLinePerProblem() {
         KeyRange low = new KeyRange(0, 100);
--- a/src/test/java/postbeam/slices/MoveFailureTest.java
+++ b/src/test/java/postbeam/slices/MoveFailureTest.java
@@ -77,6 +77,57 @@
         assertEquals(List.of("a", "b"), layout().slice(0).nodes());
     }
 
+    /** A holder that returns before the cut-over may have accepted calls, so it must be fenced. */
+    @Test
+    void holderStatedDeadThatIsListedAgainMustBeFenced() {
+        setReadiness("a", Readiness.REMOVED);
+        long move = plan(new LayoutChange.Transfer(0, "a", "c", true));
+        unresponsiveNodes.addAll(List.of("a", "c"));
+        runFor(Duration.ofSeconds(1));
+        setReadiness("a", Readiness.DRAINING);
+        unresponsiveNodes.remove("c");
+        advanceTo(move, MoveState.FENCED);
+        runFor(Duration.ofSeconds(2));
+        assertEquals(MoveState.FENCED, coordinator.state().move(move).state());
+        unresponsiveNodes.clear();
+        runFor(Duration.ofSeconds(3));
+        assertEquals(MoveState.COMPLETED, finishedMove(move).state());
+        assertEquals(List.of("c", "b"), layout().slice(0).nodes());
+    }
+
+    /** After a restart the coordinator has never seen the dead holder listed. */
+    @Test
+    void moveOffHolderStatedDeadCompletesAfterRestartOfCoordinator() {
+        setReadiness("a", Readiness.REMOVED);
+        unresponsiveNodes.add("a");
+        long move = plan(new LayoutChange.Transfer(0, "a", "c", true));
+        nodes.remove("a");
+        restart();
+        runFor(Duration.ofSeconds(10));
+        assertEquals(MoveState.COMPLETED, finishedMove(move).state());
+        assertEquals(List.of("c", "b"), layout().slice(0).nodes());
+    }
+
+    /** Guards against a cut-over without fencing that no operator asked for. */
+    @Test
+    void targetMovesNoSliceOffHolderThatIsNotListed() {
+        setReadiness("a", Readiness.REMOVED);
+        unresponsiveNodes.add("a");
+        List<TargetLayout.DesiredSlice> desired =
+                layout().slices().stream()
+                        .map(
+                                slice ->
+                                        new TargetLayout.DesiredSlice(
+                                                slice.keys(), List.of("c", "b")))
+                        .toList();
+        execute(coordinator.setTarget(new TargetLayout(desired)), -1);
+        runFor(Duration.ofSeconds(60));
+        assertTrue(layout().slice(0).heldBy("a"), layout().slice(0).toString());
+        plan(new LayoutChange.Transfer(0, "a", "c", true));
+        runFor(Duration.ofSeconds(20));
+        assertEquals(List.of("c", "b"), layout().slice(0).nodes());
+    }
+
     @Test
     void moveCanBeAbandonedInEachState() {
         for (MoveState state :
--- a/src/test/java/postbeam/slices/NodeReconciliationTest.java
+++ b/src/test/java/postbeam/slices/NodeReconciliationTest.java
@@ -36,8 +36,8 @@
         setReadiness("a", Readiness.REMOVED);
         assertEquals(
                 List.of(
-                        new LayoutChange.Transfer(0, "a", "e"),
-                        new LayoutChange.Transfer(3, "a", "e")),
+                        new LayoutChange.Transfer(0, "a", "e", true),
+                        new LayoutChange.Transfer(3, "a", "e", true)),
                 coordinator.repairs());
         plan(coordinator.repairs().get(0));
         runFor(Duration.ofSeconds(20));
@@ -62,7 +62,7 @@
     @Test
     void pendingDropIsCancelledWhenNodeAcquiresSliceAgain() {
         setReadiness("a", Readiness.REMOVED);
-        plan(new LayoutChange.Transfer(0, "a", "c"));
+        plan(new LayoutChange.Transfer(0, "a", "c", true));
         runFor(Duration.ofSeconds(20));
         assertEquals(1, coordinator.state().pendingDrops().size());
         unresponsiveNodes.add("a");
