Moves: data nodes reject orders that later ones have overtaken

Cause: nothing in an order told a node which of two was sent last.

Change: the coordinator numbers its commands, the layout service sends term and number with each, and starts a term with every start. Nodes keep the highest of each slice and answer "overtaken" to lower ones. The recorded bytes of two orders with a term grow by that number; orders without a term, and all stored records, are unchanged.

--- a/src/main/java/postbeam/layoutservice/HandoffMessages.java
+++ b/src/main/java/postbeam/layoutservice/HandoffMessages.java
@@ -16,10 +16,11 @@
  * The text of handoff frames to and from data nodes; its fields are separated by single spaces. A
  * command is the letter s followed by the command, the move id, the slice, the first key
  * (inclusive), the last key (exclusive), the layout version, the address of the source node or "-",
- * and the term where terms are in use. A node responds with the letter s, the command, the move id,
- * the slice and one word of status. A digest request is the letter s followed by "SAY", a request
- * id, the slice and the key ranges; a node responds with the same request id and slice and a JSON
- * object.
+ * and, where terms are in use, the term and the number of the command in the term. A node rejects a
+ * command whose term and number are below those of one that it carried out for the slice. It
+ * responds with the letter s, the command, the move id, the slice and one word of status. A digest
+ * request is the letter s followed by "SAY", a request id, the slice and the key ranges; a node
+ * responds with the same request id and slice and a JSON object.
  */
 final class HandoffMessages {
     /** The status of a command in a node's response. */
@@ -67,7 +68,7 @@
                 + command.version()
                 + " "
                 + (sourceAddress == null ? NO_SOURCE : sourceAddress)
-                + (term > 0 ? " " + term : "");
+                + (term > 0 ? " " + term + " " + command.number() : "");
     }
 
     /**
--- a/src/main/java/postbeam/slices/Coordinator.java
+++ b/src/main/java/postbeam/slices/Coordinator.java
@@ -25,6 +25,9 @@
     private final MoveStateMachine stateMachine;
     private final NodeReconciliation reconciliation;
 
+    /** The number of the last command, counted anew in each term. */
+    private long lastCommandNumber;
+
     /** Creates a coordinator over the state that results from the journal's records. */
     public Coordinator(MoveJournalState state, MoveLimits limits) {
         this.state = state;
@@ -35,6 +38,10 @@
         this.reconciliation = new NodeReconciliation(state, limits, nodes, approval);
     }
 
+    private ActionList newActionList(Duration now) {
+        return new ActionList(state, now, () -> ++lastCommandNumber);
+    }
+
     /** The state that results from the journal's records. */
     public MoveJournalState state() {
         return state;
@@ -112,7 +119,7 @@
      *     then
      */
     public List<CoordinatorAction> plan(LayoutChange change, Duration now) {
-        ActionList actions = new ActionList(state, now);
+        ActionList actions = newActionList(now);
         planner.plan(actions, change);
         return actions.toList();
     }
@@ -134,7 +141,7 @@
         if (!problems.isEmpty()) {
             throw new IllegalArgumentException(problems.get(0));
         }
-        ActionList actions = new ActionList(state, Duration.ZERO);
+        ActionList actions = newActionList(Duration.ZERO);
         actions.append(new JournalRecord.TargetSet(target));
         return actions.toList();
     }
@@ -154,7 +161,7 @@
         if (move.state() == MoveState.ABANDONING || move.reverseWhenDone()) {
             throw new IllegalArgumentException("move " + id + " is being abandoned already");
         }
-        ActionList actions = new ActionList(state, now);
+        ActionList actions = newActionList(now);
         stateMachine.abandon(actions, move, reason);
         return actions.toList();
     }
@@ -171,7 +178,7 @@
 
     /** Advances all moves as far as possible now, and returns the actions to execute. */
     public List<CoordinatorAction> tick(Duration now) {
-        ActionList actions = new ActionList(state, now);
+        ActionList actions = newActionList(now);
         List.copyOf(state.activeMoves()).forEach(move -> stateMachine.advance(actions, move));
         if (state.target() != null) {
             planTowardsTarget(actions);
--- a/src/main/java/postbeam/testbed/fakes/FakeDataNode.java
+++ b/src/main/java/postbeam/testbed/fakes/FakeDataNode.java
@@ -375,6 +375,14 @@
                 return;
             }
             term = by;
+            OrderNumber number =
+                    words.length > 8
+                            ? new OrderNumber(by, Long.parseLong(words[8]))
+                            : OrderNumber.NONE;
+            if (held.isOvertaken(slice, number)) {
+                send(socket, "s" + command + " " + words[1] + " " + slice + " overtaken");
+                return;
+            }
             boolean own = words[6].equals(dialAddress());
             long readyAt =
                     copies.computeIfAbsent(
@@ -387,7 +395,10 @@
             if (command == HandoffCommand.DROP) {
                 copies.remove(slice);
             }
-            done = !hanging && held.ordered(command, slice, keys, Long.parseLong(words[5]), copied);
+            done =
+                    !hanging
+                            && held.ordered(
+                                    command, slice, keys, Long.parseLong(words[5]), number, copied);
         }
         send(socket, "s" + command + " " + words[1] + " " + slice + " " + (done ? "done" : "busy"));
     }
--- a/src/main/java/postbeam/testbed/fakes/FakeSliceStore.java
+++ b/src/main/java/postbeam/testbed/fakes/FakeSliceStore.java
@@ -29,6 +29,9 @@
 
         boolean copied;
 
+        /** The highest number of an order for the slice. */
+        private OrderNumber lastOrder = OrderNumber.NONE;
+
         HeldSlice(KeyRange keys) {
             this.keys = keys;
         }
@@ -36,6 +39,9 @@
 
     private final Map<Integer, HeldSlice> slices = new TreeMap<>();
 
+    /** The highest number of an order after which its slice was not held. */
+    private OrderNumber lastOrderNotHeld = OrderNumber.NONE;
+
     /** The slice of this number; null where it is not held. */
     public HeldSlice find(int slice) {
         return slices.get(slice);
@@ -65,6 +71,7 @@
     /** A node that lost its disk holds nothing until it is told. */
     public void forgetAll() {
         slices.clear();
+        lastOrderNotHeld = OrderNumber.NONE;
     }
 
     /**
@@ -78,16 +85,50 @@
                     HeldSlice again = new HeldSlice(one.keys);
                     again.state = one.state;
                     again.minVersion = one.minVersion;
+                    again.lastOrder = one.lastOrder;
                     again.copied = true;
                     return again;
                 });
     }
 
     /**
-     * Whether the order is done; else it goes on, and the same order later tells. The copying is
-     * the caller's.
+     * Whether the order was overtaken by a later one for the slice, and must not be carried out.
+     * What is remembered of slices that are not held is one number for all: an order for one of
+     * them that was overtaken by an order for another is rejected as well, and will be sent again.
+     */
+    public boolean isOvertaken(int slice, OrderNumber number) {
+        HeldSlice one = slices.get(slice);
+        OrderNumber last = one == null ? lastOrderNotHeld : one.lastOrder;
+        return !number.equals(OrderNumber.NONE) && number.compareTo(last) < 0;
+    }
+
+    /**
+     * Carries out an order unless it {@link #isOvertaken}.
+     *
+     * @param copied whether the data are here, after the caller copied them
+     * @return whether the order is done; else it goes on, and the same order later tells
      */
     public boolean ordered(
+            HandoffCommand command,
+            int slice,
+            KeyRange keys,
+            long version,
+            OrderNumber number,
+            boolean copied) {
+        if (isOvertaken(slice, number)) {
+            return false;
+        }
+        boolean done = carryOut(command, slice, keys, version, copied);
+        HeldSlice one = slices.get(slice);
+        if (one == null) {
+            lastOrderNotHeld = OrderNumber.max(lastOrderNotHeld, number);
+        } else {
+            one.lastOrder = OrderNumber.max(one.lastOrder, number);
+        }
+        return done;
+    }
+
+    private boolean carryOut(
             HandoffCommand command, int slice, KeyRange keys, long version, boolean copied) {
         HeldSlice one = slices.get(slice);
         switch (command) {
--- a/src/main/java/postbeam/testbed/simulation/SimulatedDataNode.java
+++ b/src/main/java/postbeam/testbed/simulation/SimulatedDataNode.java
@@ -13,6 +13,7 @@
 import postbeam.slices.HandoffCommand;
 import postbeam.slices.KeyRange;
 import postbeam.testbed.fakes.FakeSliceStore;
+import postbeam.testbed.fakes.OrderNumber;
 import postbeam.testbed.verification.InvariantChecker;
 
 /**
@@ -156,10 +157,14 @@
      * Executes a command and acknowledges it once it is complete. Sends no answer while the node is
      * down or hangs.
      */
-    void execute(CoordinatorAction.SendCommand command, Runnable done) {
+    void execute(CoordinatorAction.SendCommand command, long term, Runnable done) {
         if (!alive || hanging) {
             return;
         }
+        OrderNumber number = new OrderNumber(term, command.number());
+        if (held.isOvertaken(command.slice(), number)) {
+            return;
+        }
         boolean copied = false;
         if (command.command() == HandoffCommand.COPY) {
             // The node's own data need no copying. Other data take a random time from the first
@@ -179,7 +184,12 @@
             copyReadyAt.remove(command.slice());
         }
         if (held.ordered(
-                command.command(), command.slice(), command.keys(), command.version(), copied)) {
+                command.command(),
+                command.slice(),
+                command.keys(),
+                command.version(),
+                number,
+                copied)) {
             cluster.afterHop(done);
         }
     }
--- a/src/main/java/postbeam/testbed/simulation/SimulatedMoveCoordinator.java
+++ b/src/main/java/postbeam/testbed/simulation/SimulatedMoveCoordinator.java
@@ -86,6 +86,10 @@
                 throw new UncheckedIOException(e);
             }
         }
+        JournalRecord.TermStarted termStarted =
+                new JournalRecord.TermStarted(journalState.term() + 1);
+        journalState.apply(termStarted);
+        records.add(MoveRecordCodec.write(termStarted));
         coordinator = new Coordinator(journalState, LIMITS);
         coordinator.onNodesListed(nodeList, List.of());
         cluster.publishLayout(journalState.layout());
@@ -125,11 +129,13 @@
             return;
         }
         int startIncarnation = incarnation;
+        long term = coordinator.state().term();
         cluster.afterHop(
                 () ->
                         cluster.node(command.node())
                                 .execute(
                                         command,
+                                        term,
                                         () -> {
                                             if (startIncarnation == incarnation
                                                     && !(cluster.faultsActive()
--- a/src/test/java/postbeam/layoutservice/HandoffClientMessagesTest.java
+++ b/src/test/java/postbeam/layoutservice/HandoffClientMessagesTest.java
@@ -94,10 +94,10 @@
                     () -> events.add(SUPERSEDED));
             client.send(
                     new CoordinatorAction.SendCommand(
-                            0, "n1", HandoffCommand.SERVE, 3, HIGH_KEYS, 13, null));
+                            0, "n1", HandoffCommand.SERVE, 3, HIGH_KEYS, 13, null, 5));
             client.send(
                     new CoordinatorAction.SendCommand(
-                            8, "n1", HandoffCommand.DROP, 3, LOW_KEYS, 13, null));
+                            8, "n1", HandoffCommand.DROP, 3, LOW_KEYS, 13, null, 6));
             client.requestDigests(
                     new MigrationAction.RequestDigests(99, "n1", 3, List.of(LOW_KEYS, HIGH_KEYS)));
             Samples.assertSameBytes("node-orders.bin", receiveFrames(server, responses));
