Layout service: a response to a given-up order is noticed

Cause: the connection of an order whose response was 1 s overdue was closed, so the service never heard that the order was carried out later, and believed the acknowledgement of the SERVE that it had sent in between.

Change: that connection stays open beside the next one, four at most for a node. A response on it has all orders to the node count as unacknowledged, and they are sent again, as after a restart of the node.

--- a/src/main/java/postbeam/layoutservice/HandoffClient.java
+++ b/src/main/java/postbeam/layoutservice/HandoffClient.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import postbeam.migration.MigrationAction;
 import postbeam.migration.RangeDigest;
 import postbeam.slices.CoordinatorAction;
@@ -33,6 +34,7 @@
     }
 
     private final CompletionListener completionListener;
+    private final Consumer<String> onLateCommand;
     private final Map<String, HandoffConnection> connections = new LinkedHashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private DigestListener digestListener;
@@ -41,8 +43,15 @@
     /** The term that commands carry; 0 where terms are not in use. */
     private long term;
 
-    HandoffClient(CompletionListener completionListener) {
+    /**
+     * Creates a client without a term.
+     *
+     * @param onLateCommand receives the name of a node that has carried out a command after it was
+     *     given up, maybe after later commands
+     */
+    HandoffClient(CompletionListener completionListener, Consumer<String> onLateCommand) {
         this.completionListener = completionListener;
+        this.onLateCommand = onLateCommand;
     }
 
     /**
@@ -88,6 +97,7 @@
                 new HandoffConnection.Request(
                         HandoffMessages.command(command, source, term),
                         MAX_COMMAND_RESPONSE_BYTES,
+                        true,
                         response -> {
                             HandoffMessages.CommandStatus status =
                                     HandoffMessages.commandStatus(command, response);
@@ -116,6 +126,7 @@
                 new HandoffConnection.Request(
                         HandoffMessages.digestRequest(request),
                         MAX_DIGEST_RESPONSE_BYTES,
+                        false,
                         response -> {
                             String body = HandoffMessages.digestResponseBody(request, response);
                             return () ->
@@ -130,7 +141,11 @@
         String address = addresses.get(node);
         if (address != null) {
             connections
-                    .computeIfAbsent(node, name -> new HandoffConnection(name, address))
+                    .computeIfAbsent(
+                            node,
+                            name ->
+                                    new HandoffConnection(
+                                            name, address, () -> onLateCommand.accept(name)))
                     .offer(request);
         }
     }
--- a/src/main/java/postbeam/layoutservice/HandoffConnection.java
+++ b/src/main/java/postbeam/layoutservice/HandoffConnection.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.CharacterCodingException;
@@ -12,13 +13,15 @@
 import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import postbeam.config.RouterConfig;
 
 /**
  * The connection to one data node, with its thread and its queue of requests. Requests are sent one
  * at a time, each after the previous one was answered. A request that fails is dropped, and the
- * next one opens a new connection.
+ * next one opens a new connection. If the response to a command is overdue, its connection stays
+ * open beside that, so that a late response is noticed.
  */
 final class HandoffConnection implements Closeable {
     private static final System.Logger LOG = System.getLogger(HandoffConnection.class.getName());
@@ -28,8 +31,17 @@
 
     private static final int MAX_QUEUED_REQUESTS = 256;
 
-    /** A request frame, the limit for its response in bytes, and the reader of the response. */
-    record Request(String frame, int maxResponseBytes, ResponseReader reader) {}
+    /** How often overdue connections are checked for responses. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
+
+    /**
+     * A request.
+     *
+     * @param maxResponseBytes limit for the response
+     * @param changesNode whether the request has an effect at the node
+     */
+    record Request(
+            String frame, int maxResponseBytes, boolean changesNode, ResponseReader reader) {}
 
     /** Checks a node's response and decides how its result is delivered. */
     interface ResponseReader {
@@ -51,6 +63,10 @@
     private final String address;
     private final BlockingQueue<Request> queue = new ArrayBlockingQueue<>(MAX_QUEUED_REQUESTS);
     private final Thread thread;
+    private final Runnable onLateResponse;
+
+    /** Used by the thread only. */
+    private final OverdueConnections overdueConnections = new OverdueConnections();
 
     /** Used by the thread only; null while there is no connection. */
     private Socket socket;
@@ -58,10 +74,16 @@
     /** Used by the thread only: the last request failed and the failure was logged. */
     private boolean failing;
 
-    /** Starts the thread; the connection is opened with the first request. */
-    HandoffConnection(String node, String address) {
+    /**
+     * Starts the thread; the connection is opened with the first request.
+     *
+     * @param onLateResponse run when the node has answered a request that changes it, and that was
+     *     given up before
+     */
+    HandoffConnection(String node, String address, Runnable onLateResponse) {
         this.node = node;
         this.address = address;
+        this.onLateResponse = onLateResponse;
         thread = new Thread(this::run, "orders-" + node);
         thread.setDaemon(true);
         thread.start();
@@ -88,21 +110,37 @@
     private void run() {
         try {
             while (!Thread.interrupted()) {
-                exchange(queue.take());
+                Request request = nextRequest();
+                if (overdueConnections.takeResponses()) {
+                    onLateResponse.run();
+                }
+                if (request != null) {
+                    exchange(request);
+                }
             }
         } catch (InterruptedException e) {
             // The connection was closed.
         } finally {
             IoUtils.safeClose(socket);
+            overdueConnections.close();
         }
     }
 
+    /** Waits for a request; returns null when it is time to check overdue connections. */
+    private Request nextRequest() throws InterruptedException {
+        return overdueConnections.isEmpty()
+                ? queue.take()
+                : queue.poll(CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void exchange(Request request) {
+        boolean sent = false;
         try {
             if (socket == null) {
                 connect();
             }
             send(socket.getOutputStream(), request.frame());
+            sent = true;
             String response =
                     receive(
                             new DataInputStream(socket.getInputStream()),
@@ -111,7 +149,11 @@
             failing = false;
             completion.run();
         } catch (IOException | RuntimeException e) {
-            IoUtils.safeClose(socket);
+            if (sent && request.changesNode() && e instanceof SocketTimeoutException) {
+                overdueConnections.add(socket);
+            } else {
+                IoUtils.safeClose(socket);
+            }
             socket = null;
             if (!failing) {
                 LOG.log(
--- a/src/main/java/postbeam/slices/Coordinator.java
+++ b/src/main/java/postbeam/slices/Coordinator.java
@@ -93,6 +93,15 @@
         }
     }
 
+    /**
+     * Handles a node that carried out a command after it was given up. A later command may have
+     * been undone, so all commands to the node count as unacknowledged and are sent again.
+     */
+    public void onLateCommand(String node) {
+        reconciliation.onArrival(node);
+        commands.forgetNode(node);
+    }
+
     /**
      * Whether each destination of the move has acknowledged this command since the destination last
      * appeared in the node list or restarted.
--- a/src/test/java/postbeam/layoutservice/HandoffClientMessagesTest.java
+++ b/src/test/java/postbeam/layoutservice/HandoffClientMessagesTest.java
@@ -1,6 +1,7 @@
 package postbeam.layoutservice;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -75,7 +76,8 @@
                 HandoffClient client =
                         new HandoffClient(
                                 (move, node, command, slice) ->
-                                        events.add(new CommandDone(move, node, command, slice)))) {
+                                        events.add(new CommandDone(move, node, command, slice)),
+                                node -> fail("no response is late"))) {
             client.updateAddresses(
                     Map.of("n1", "127.0.0.1:" + server.getLocalPort(), "n2", "127.0.0.1:7002"));
             client.send(
--- a/src/test/java/postbeam/slices/NodeReconciliationTest.java
+++ b/src/test/java/postbeam/slices/NodeReconciliationTest.java
@@ -74,6 +74,31 @@
         assertEquals(List.of("a", "b"), layout().slice(0).nodes());
     }
 
+    /** Guards against a holder that stays fenced by a FENCE that arrived after the rollback. */
+    @Test
+    void slicesAreServedAgainAfterLateCommand() {
+        long move = plan(new LayoutChange.Transfer(0, "a", "c"));
+        advanceTo(move, MoveState.FENCED);
+        execute(coordinator.abandon(move, "asked", now), -1);
+        runFor(Duration.ofSeconds(3));
+        assertEquals(MoveState.ABANDONED, finishedMove(move).state());
+        runFor(Duration.ofSeconds(10));
+        sentCommands.clear();
+        coordinator.onLateCommand("a");
+        execute(coordinator.tick(now), -1);
+        assertEquals(
+                List.of("a SERVE 0", "a SERVE 3"),
+                sentCommands.stream()
+                        .map(
+                                command ->
+                                        command.node()
+                                                + " "
+                                                + command.command()
+                                                + " "
+                                                + command.slice())
+                        .toList());
+    }
+
     /** Guards against a copy that is never deleted after a rollback. */
     @Test
     void destinationUnresponsiveWhileMoveIsAbandonedDropsItsCopyOnceItResponds() {
