Data nodes: an idle connection is read before it is used

What callers saw: once, beside load, 504 for a query whose part was written to an idle connection that the node had closed (RouterIT#idleConnectionClosedByNodeIsNotReused).

Cause: the I/O thread runs queued tasks before it looks at sockets, so a task that sends could run before the close was noticed. The lost call may have run as far as the router knows.

Evidence: DataNodeClientTest#idleConnectionClosedWhileIoThreadIsLateIsNotUsed holds the thread until both are pending; it failed before and passes now.

Change: an idle connection is read, without waiting, before a call or a health check is sent on it. If it has ended, another one is taken.

--- a/src/main/java/postbeam/datanodes/ConnectionPool.java
+++ b/src/main/java/postbeam/datanodes/ConnectionPool.java
@@ -61,10 +61,12 @@
      * @return empty if the connection limit is reached or the connection can't be opened
      */
     Optional<NodeConnection> acquire(String address, int attempts) {
-        for (NodeConnection connection : byAddress.getOrDefault(address, List.of())) {
-            if (connection.hasCapacityFor(attempts, maxAttemptsPerConnection)) {
-                return Optional.of(connection);
-            }
+        Optional<NodeConnection> existing = findWithCapacity(address, attempts);
+        while (existing.isPresent() && !existing.get().checkOpenIfIdle()) {
+            existing = findWithCapacity(address, attempts);
+        }
+        if (existing.isPresent()) {
+            return existing;
         }
         if (connectionCount >= maxConnections) {
             LOG.log(
@@ -77,6 +79,12 @@
         return open(address);
     }
 
+    private Optional<NodeConnection> findWithCapacity(String address, int attempts) {
+        return byAddress.getOrDefault(address, List.of()).stream()
+                .filter(connection -> connection.hasCapacityFor(attempts, maxAttemptsPerConnection))
+                .findFirst();
+    }
+
     private Optional<NodeConnection> open(String address) {
         NodeConnection connection =
                 new NodeConnection(this, listener, address, connectTimeout, maxIdle);
--- a/src/main/java/postbeam/datanodes/NodeConnection.java
+++ b/src/main/java/postbeam/datanodes/NodeConnection.java
@@ -163,6 +163,17 @@
                 && !writer.isStalled(connectTimeout);
     }
 
+    /**
+     * Reads what has arrived on an idle connection, and returns whether it is still open. A node
+     * may have closed it, and the I/O thread may not have been notified yet.
+     */
+    boolean checkOpenIfIdle() {
+        if (channel != null && isUnused()) {
+            read(channel.getSourceChannel());
+        }
+        return !closed;
+    }
+
     /** Queues the attempts to be sent together in one frame. */
     void send(List<DispatchedAttempt> attempts) {
         enqueue(new QueuedFrame.Attempts(attempts));
@@ -363,15 +374,15 @@
 
     /** Closes the connection if it has been unused for the maximum idle time. */
     void closeIfIdle() {
-        if (channel != null
-                && inFlight.isEmpty()
-                && writer.queuedAttempts() == 0
-                && pendingProbes.isEmpty()
-                && isIdleTooLong()) {
+        if (channel != null && isUnused() && isIdleTooLong()) {
             close(null);
         }
     }
 
+    private boolean isUnused() {
+        return inFlight.isEmpty() && writer.queuedAttempts() == 0 && pendingProbes.isEmpty();
+    }
+
     private boolean isIdleTooLong() {
         long lastUsed = Math.max(lastEnqueuedNanos, reader.lastReadNanos());
         return System.nanoTime() - lastUsed >= maxIdle.toNanos();
--- a/src/test/java/postbeam/datanodes/DataNodeClientTest.java
+++ b/src/test/java/postbeam/datanodes/DataNodeClientTest.java
@@ -85,4 +85,20 @@
         assertTrue(nextHealthCheck());
         assertEquals(1, node.sockets.size());
     }
+
+    /**
+     * The node closes the idle connection, and a request is queued before the I/O thread sees that.
+     * The request was written to the closed connection and counted as lost.
+     */
+    @Test
+    void idleConnectionClosedWhileIoThreadIsLateIsNotUsed() throws Exception {
+        client.probe("n1", node.dialAddress());
+        assertTrue(nextHealthCheck());
+        delayIoThread();
+        node.sockets.get(0).close();
+        client.probe("n1", node.dialAddress());
+        assertTrue(nextHealthCheck(), "the request was sent on a new connection");
+        assertEquals(
+                2, node.history().stream().filter(event -> event.contains("accepted")).count());
+    }
 }
