Discovery: polls are paced by what a response costs

What callers saw: a router beside an agent that answers each watch with the whole list of 3,200 data nodes used all of a core for lists at 20 changes a second (arm64).

Cause: after a list was applied the next watch was sent at once.

Change: the next poll waits nine times the time that it took to decode and apply the response, 200 ms at most.

--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -284,6 +284,7 @@
     // ---- responses
 
     private void handleResponse(PendingPolls.Poll poll, InputStream body) {
+        long handlingStartNanos = System.nanoTime();
         long newVersion;
         try {
             T update = decode(body);
@@ -298,7 +299,8 @@
         pollListener.onResponse();
         log.onResponse(newVersion, pendingPolls.lateness(poll, now()), now());
         idleConnection = connections.remove(poll);
-        abandon(pendingPolls.onResponse(poll, newVersion, now()));
+        Duration handlingTime = Duration.ofNanos(System.nanoTime() - handlingStartNanos);
+        abandon(pendingPolls.onResponse(poll, newVersion, handlingTime, now()));
     }
 
     private T decode(InputStream body) throws IOException {
--- a/src/main/java/postbeam/endpoints/PendingPolls.java
+++ b/src/main/java/postbeam/endpoints/PendingPolls.java
@@ -143,20 +143,23 @@
      * Records a usable response.
      *
      * @param newVersion version that the response states
+     * @param handlingTime how long it took to decode and apply the response
      * @return the polls that this response ends
      */
-    public List<Poll> onResponse(Poll poll, long newVersion, Duration now) {
+    public List<Poll> onResponse(Poll poll, long newVersion, Duration handlingTime, Duration now) {
         boolean early =
                 now.minus(poll.startedAt).compareTo(timings.longPollWait().dividedBy(2)) < 0;
         boolean unchanged = newVersion == poll.version;
         plan.onUpdate(poll.request, newVersion);
         overdueSince = null;
         lastEndAt = now;
-        nextPollAt = now;
+        Duration pause = timings.pauseAfterResponse(handlingTime);
         if (poll.request == PollPlan.Request.LONG_POLL && unchanged && early) {
             // A server that responds at once without changes is not polled in a loop.
-            nextPollAt = now.plus(timings.pauseAfterFailure(1, 0));
+            Duration minimum = timings.pauseAfterFailure(1, 0);
+            pause = pause.compareTo(minimum) > 0 ? pause : minimum;
         }
+        nextPollAt = now.plus(pause);
         polls.remove(poll);
         return removeAll();
     }
--- a/src/main/java/postbeam/endpoints/PollTimings.java
+++ b/src/main/java/postbeam/endpoints/PollTimings.java
@@ -72,6 +72,12 @@
 
     private static final Duration MAX_POLL_CYCLE = MAX_PROPAGATION_DELAY.minus(SCHEDULING_MARGIN);
 
+    /** At most a tenth of a core handles responses, if they take up to 22 ms each. */
+    private static final int PAUSE_PER_HANDLING_TIME = 9;
+
+    /** Delays changes by less than a poll cycle leaves room for. */
+    private static final Duration MAX_PAUSE_AFTER_RESPONSE = Duration.ofMillis(200);
+
     // ---- polling a local agent
 
     /**
@@ -206,6 +212,17 @@
         return latenessLimits.stream().min(Duration::compareTo).orElse(Duration.ZERO);
     }
 
+    /**
+     * Returns the pause after a response. If a server answers each poll with a large document, most
+     * of the core is left for queries.
+     *
+     * @param handlingTime how long it took to decode and apply the response
+     */
+    Duration pauseAfterResponse(Duration handlingTime) {
+        Duration pause = handlingTime.multipliedBy(PAUSE_PER_HANDLING_TIME);
+        return pause.compareTo(MAX_PAUSE_AFTER_RESPONSE) < 0 ? pause : MAX_PAUSE_AFTER_RESPONSE;
+    }
+
     /**
      * Returns the time without the end of a poll, or one that became overdue, after which the
      * process must have been suspended: longer than a poll and the pause before it.
--- a/src/test/java/postbeam/endpoints/PendingPollsTest.java
+++ b/src/test/java/postbeam/endpoints/PendingPollsTest.java
@@ -59,6 +59,7 @@
         private final Map<Poll, Long> versions = new HashMap<>();
         private final List<Long> startedAt = new ArrayList<>();
         private final Random random;
+        private final Random handling;
         private final Silence silence;
         private final long changeAt;
         private final long maxLateness;
@@ -70,6 +71,7 @@
             this.timings = timings;
             polls = new PendingPolls(timings, new PollPlan(true));
             random = new Random(seed);
+            handling = new Random(seed);
             this.silence = silence;
             changeAt = change;
             maxLateness = lateness;
@@ -116,6 +118,11 @@
             return lost ? Long.MAX_VALUE : due + lateness();
         }
 
+        /** Any time up to that of a list of thousands of nodes on a slow machine. */
+        private Duration handlingTime() {
+            return Duration.ofMillis(handling.nextLong(100));
+        }
+
         private long versionAt(long time) {
             return time >= changeAt ? 2 : 1;
         }
@@ -131,7 +138,8 @@
                     polls.onFirstByte(poll, time());
                     answerAt.remove(poll);
                     held = Math.max(held, versions.get(poll));
-                    polls.onResponse(poll, versions.get(poll), time()).forEach(answerAt::remove);
+                    polls.onResponse(poll, versions.get(poll), handlingTime(), time())
+                            .forEach(answerAt::remove);
                 }
             }
         }
@@ -189,7 +197,8 @@
         Poll oldest = polls.startIfDue(Duration.ZERO).orElseThrow();
         assertEquals(List.of(oldest), polls.expire(Duration.ofMillis(250)).overdue());
         Poll newer = polls.startIfDue(Duration.ofMillis(350)).orElseThrow();
-        assertEquals(List.of(oldest), polls.onResponse(newer, 7, Duration.ofMillis(360)));
+        assertEquals(
+                List.of(oldest), polls.onResponse(newer, 7, Duration.ZERO, Duration.ofMillis(360)));
         Poll next = polls.startIfDue(Duration.ofMillis(360)).orElseThrow();
         assertEquals(PollPlan.Request.LONG_POLL, next.request());
         assertEquals(7, next.version());
@@ -228,7 +237,7 @@
         PollTimings timings = server.timings(1);
         PendingPolls polls = new PendingPolls(timings, new PollPlan(true));
         Poll first = polls.startIfDue(Duration.ZERO).orElseThrow();
-        polls.onResponse(first, 7, Duration.ofMillis(1));
+        polls.onResponse(first, 7, Duration.ZERO, Duration.ofMillis(1));
         Poll pending = polls.startIfDue(Duration.ofMillis(2)).orElseThrow();
         Duration resumed = Duration.ofMillis(1).plus(timings.suspensionThreshold());
         assertEquals(List.of(), polls.abandonIfSuspended(resumed.minusMillis(1)));
@@ -238,6 +247,20 @@
         assertEquals(List.of(), polls.abandonIfSuspended(resumed.plusMillis(1)));
     }
 
+    /** An agent that answered each watch with a list of thousands of nodes used up a core. */
+    @Test
+    void pollAfterCostlyResponseIsDelayed() {
+        PendingPolls polls = new PendingPolls(PollTimings.LOCAL_AGENT, new PollPlan(true));
+        Poll cheap = polls.startIfDue(Duration.ZERO).orElseThrow();
+        polls.onResponse(cheap, 1, Duration.ZERO, Duration.ofMillis(10));
+        Poll costly = polls.startIfDue(Duration.ofMillis(10)).orElseThrow();
+        polls.onResponse(costly, 2, Duration.ofMillis(13), Duration.ofMillis(40));
+        assertEquals(Duration.ofMillis(40 + 9 * 13), polls.nextEventAt());
+        Poll mostCostly = polls.startIfDue(Duration.ofMillis(157)).orElseThrow();
+        polls.onResponse(mostCostly, 3, Duration.ofMillis(50), Duration.ofMillis(210));
+        assertEquals(Duration.ofMillis(410), polls.nextEventAt());
+    }
+
     /** The layout's lease counts from its request, so its polls are not sent side by side. */
     @Test
     void overduePollIsAbandonedWhereNoStageIsLeft() {
