Fake data node: an order is a type, and names say what they are

ReceivedOrder parses an order once; FakeDataNode.order is split into parsing, execution and the time that a copy takes. FakeSliceStore's locals are named for what they hold and its comments say it in ordinary terms. Two tests shared the code for frames of a node's side: FrameSocket. RouterIT's two tests of a resumed router share their check.

--- a/src/main/java/postbeam/testbed/fakes/FakeDataNode.java
+++ b/src/main/java/postbeam/testbed/fakes/FakeDataNode.java
@@ -364,43 +364,45 @@
             say(socket, words);
             return;
         }
-        HandoffCommand command = HandoffCommand.valueOf(words[0]);
-        int slice = Integer.parseInt(words[2]);
-        KeyRange keys = new KeyRange(Long.parseLong(words[3]), Long.parseLong(words[4]));
-        boolean done;
-        synchronized (this) {
-            long by = words.length > 7 ? Long.parseLong(words[7]) : 0;
-            if (by < term) {
-                send(socket, "s" + command + " " + words[1] + " " + slice + " stale");
-                return;
-            }
-            term = by;
-            OrderNumber number =
-                    words.length > 8
-                            ? new OrderNumber(by, Long.parseLong(words[8]))
-                            : OrderNumber.NONE;
-            if (held.isOvertaken(slice, number)) {
-                send(socket, "s" + command + " " + words[1] + " " + slice + " overtaken");
-                return;
-            }
-            boolean own = words[6].equals(dialAddress());
-            long readyAt =
-                    copies.computeIfAbsent(
-                            slice,
-                            key ->
-                                    System.nanoTime()
-                                            + (long) (chance.nextDouble() * COPY_MOST.toNanos()));
-            boolean copied =
-                    command == HandoffCommand.COPY && (own || System.nanoTime() - readyAt >= 0);
-            if (command == HandoffCommand.DROP) {
-                copies.remove(slice);
-            }
-            done =
-                    !hanging
-                            && held.ordered(
-                                    command, slice, keys, Long.parseLong(words[5]), number, copied);
+        ReceivedOrder order = ReceivedOrder.parse(line);
+        send(socket, order.response(execute(order)));
+    }
+
+    /** Carries out an order and returns the status for its response. */
+    private synchronized String execute(ReceivedOrder order) {
+        if (order.term() < term) {
+            return "stale";
+        }
+        term = order.term();
+        if (held.isOvertaken(order.slice(), order.number())) {
+            return "overtaken";
         }
-        send(socket, "s" + command + " " + words[1] + " " + slice + " " + (done ? "done" : "busy"));
+        boolean copyDone = isCopyDone(order);
+        if (order.command() == HandoffCommand.DROP) {
+            copies.remove(order.slice());
+        }
+        boolean done =
+                !hanging
+                        && held.execute(
+                                order.command(),
+                                order.slice(),
+                                order.keys(),
+                                order.version(),
+                                order.number(),
+                                copyDone);
+        return done ? "done" : "busy";
+    }
+
+    /** A copy takes a random time from the first order for the slice on; own data take none. */
+    private boolean isCopyDone(ReceivedOrder order) {
+        long readyAt =
+                copies.computeIfAbsent(
+                        order.slice(),
+                        slice ->
+                                System.nanoTime()
+                                        + (long) (chance.nextDouble() * COPY_MOST.toNanos()));
+        return order.command() == HandoffCommand.COPY
+                && (order.sourceAddress().equals(dialAddress()) || System.nanoTime() >= readyAt);
     }
 
     /**
--- a/src/main/java/postbeam/testbed/fakes/FakeSliceStore.java
+++ b/src/main/java/postbeam/testbed/fakes/FakeSliceStore.java
@@ -5,12 +5,9 @@
 import postbeam.slices.HandoffCommand;
 import postbeam.slices.KeyRange;
 
-/**
- * What one stand-in node holds, as it was ordered: which calls it takes, and which it says it never
- * ran.
- */
+/** The slices of one fake data node, as the orders of the layout service have left them. */
 public final class FakeSliceStore {
-    /** How far a slice is held here. */
+    /** State of a slice at the node. */
     public enum SliceState {
         COPYING,
         HOLDING,
@@ -18,13 +15,13 @@
         FENCED
     }
 
-    /** A slice here; calls of an older version than this one are not for it. */
+    /** A slice at the node. It accepts no calls of layout versions before {@code minVersion}. */
     public static final class HeldSlice {
         final KeyRange keys;
         public SliceState state = SliceState.COPYING;
         long minVersion;
 
-        /** Calls taken and not over. */
+        /** Number of accepted calls that have not ended. */
         int runningCalls;
 
         boolean copied;
@@ -42,63 +39,60 @@
     /** The highest number of an order after which its slice was not held. */
     private OrderNumber lastOrderNotHeld = OrderNumber.NONE;
 
-    /** The slice of this number; null where it is not held. */
+    /** Returns the slice with this number; null if it is not held. */
     public HeldSlice find(int slice) {
         return slices.get(slice);
     }
 
     /**
-     * Takes a call, which {@link #completeCall} must end; null where it is not served here under
-     * that version.
+     * Accepts a call, which {@link #completeCall} must end; returns null if the slice is not served
+     * under this layout version.
      */
     public HeldSlice tryAccept(int slice, long version, KeyRange keys) {
-        HeldSlice one = slices.get(slice);
-        if (one == null
-                || one.state != SliceState.SERVING
-                || version < one.minVersion
-                || !one.keys.contains(keys)) {
+        HeldSlice held = slices.get(slice);
+        if (held == null
+                || held.state != SliceState.SERVING
+                || version < held.minVersion
+                || !held.keys.contains(keys)) {
             return null;
         }
-        one.runningCalls++;
-        return one;
+        held.runningCalls++;
+        return held;
     }
 
     /** Ends a call that {@link #tryAccept} accepted. */
-    public void completeCall(HeldSlice one) {
-        one.runningCalls--;
+    public void completeCall(HeldSlice held) {
+        held.runningCalls--;
     }
 
-    /** A node that lost its disk holds nothing until it is told. */
+    /** Removes all that is known: the node lost its disk. */
     public void forgetAll() {
         slices.clear();
         lastOrderNotHeld = OrderNumber.NONE;
     }
 
-    /**
-     * One that starts again knows from its disk what it serves and from which version; half a copy
-     * is none.
-     */
+    /** Restores the state on the node's disk after a restart; incomplete copies are lost. */
     public void restarted() {
-        slices.values().removeIf(one -> !one.copied);
+        slices.values().removeIf(held -> !held.copied);
         slices.replaceAll(
-                (slice, one) -> {
-                    HeldSlice again = new HeldSlice(one.keys);
-                    again.state = one.state;
-                    again.minVersion = one.minVersion;
-                    again.lastOrder = one.lastOrder;
-                    again.copied = true;
-                    return again;
+                (slice, held) -> {
+                    HeldSlice restored = new HeldSlice(held.keys);
+                    restored.state = held.state;
+                    restored.minVersion = held.minVersion;
+                    restored.lastOrder = held.lastOrder;
+                    restored.copied = true;
+                    return restored;
                 });
     }
 
     /**
-     * Whether the order was overtaken by a later one for the slice, and must not be carried out.
-     * What is remembered of slices that are not held is one number for all: an order for one of
-     * them that was overtaken by an order for another is rejected as well, and will be sent again.
+     * Returns whether the order was overtaken by a later one for the slice, and must not be carried
+     * out. One number is kept for all slices that are not held: an order for one of them that was
+     * overtaken by an order for another is rejected as well, and is sent again.
      */
     public boolean isOvertaken(int slice, OrderNumber number) {
-        HeldSlice one = slices.get(slice);
-        OrderNumber last = one == null ? lastOrderNotHeld : one.lastOrder;
+        HeldSlice held = slices.get(slice);
+        OrderNumber last = held == null ? lastOrderNotHeld : held.lastOrder;
         return !number.equals(OrderNumber.NONE) && number.compareTo(last) < 0;
     }
 
@@ -106,9 +100,9 @@
      * Carries out an order unless it {@link #isOvertaken}.
      *
      * @param copied whether the data are here, after the caller copied them
-     * @return whether the order is done; else it goes on, and the same order later tells
+     * @return whether the order is complete; if not, the same order reports it later
      */
-    public boolean ordered(
+    public boolean execute(
             HandoffCommand command,
             int slice,
             KeyRange keys,
@@ -118,55 +112,55 @@
         if (isOvertaken(slice, number)) {
             return false;
         }
-        boolean done = carryOut(command, slice, keys, version, copied);
-        HeldSlice one = slices.get(slice);
-        if (one == null) {
+        boolean done = apply(command, slice, keys, version, copied);
+        HeldSlice held = slices.get(slice);
+        if (held == null) {
             lastOrderNotHeld = OrderNumber.max(lastOrderNotHeld, number);
         } else {
-            one.lastOrder = OrderNumber.max(one.lastOrder, number);
+            held.lastOrder = OrderNumber.max(held.lastOrder, number);
         }
         return done;
     }
 
-    private boolean carryOut(
+    private boolean apply(
             HandoffCommand command, int slice, KeyRange keys, long version, boolean copied) {
-        HeldSlice one = slices.get(slice);
+        HeldSlice held = slices.get(slice);
         switch (command) {
             case COPY -> {
-                if (one == null
-                        || one.state == SliceState.FENCED
-                        || one.state == SliceState.SERVING) {
-                    one = new HeldSlice(keys);
-                    slices.put(slice, one);
+                if (held == null
+                        || held.state == SliceState.FENCED
+                        || held.state == SliceState.SERVING) {
+                    held = new HeldSlice(keys);
+                    slices.put(slice, held);
                 }
-                one.copied |= copied;
-                return one.copied;
+                held.copied |= copied;
+                return held.copied;
             }
             case HOLD -> {
-                if (one == null || !one.copied) {
+                if (held == null || !held.copied) {
                     return false;
                 }
-                one.state = one.state == SliceState.COPYING ? SliceState.HOLDING : one.state;
+                held.state = held.state == SliceState.COPYING ? SliceState.HOLDING : held.state;
                 return true;
             }
             case FENCE -> {
-                if (one == null) {
+                if (held == null) {
                     return true;
                 }
-                one.state = SliceState.FENCED;
-                return one.runningCalls == 0;
+                held.state = SliceState.FENCED;
+                return held.runningCalls == 0;
             }
             case SERVE -> {
-                if (one == null) {
-                    one = new HeldSlice(keys);
-                    slices.put(slice, one);
+                if (held == null) {
+                    held = new HeldSlice(keys);
+                    slices.put(slice, held);
                 }
-                one.minVersion =
-                        one.state == SliceState.SERVING
-                                ? Math.max(one.minVersion, version)
+                held.minVersion =
+                        held.state == SliceState.SERVING
+                                ? Math.max(held.minVersion, version)
                                 : version;
-                one.state = SliceState.SERVING;
-                one.copied = true;
+                held.state = SliceState.SERVING;
+                held.copied = true;
                 return true;
             }
             default -> {
--- a/src/main/java/postbeam/testbed/simulation/SimulatedDataNode.java
+++ b/src/main/java/postbeam/testbed/simulation/SimulatedDataNode.java
@@ -183,7 +183,7 @@
         } else if (command.command() == HandoffCommand.DROP) {
             copyReadyAt.remove(command.slice());
         }
-        if (held.ordered(
+        if (held.execute(
                 command.command(),
                 command.slice(),
                 command.keys(),
--- a/src/test/java/postbeam/layoutservice/HandoffClientMessagesTest.java
+++ b/src/test/java/postbeam/layoutservice/HandoffClientMessagesTest.java
@@ -4,14 +4,9 @@
 import static org.junit.jupiter.api.Assertions.fail;
 
 import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.ByteBuffer;
-import java.nio.ByteOrder;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -48,22 +43,10 @@
     private static byte[] receiveFrames(ServerSocket server, List<String> responses)
             throws IOException {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
-        try (Socket socket = server.accept()) {
-            DataInputStream in = new DataInputStream(socket.getInputStream());
+        try (FrameSocket connection = FrameSocket.accept(server)) {
             for (String response : responses) {
-                byte[] header = in.readNBytes(Integer.BYTES);
-                received.write(header);
-                received.write(
-                        in.readNBytes(
-                                ByteBuffer.wrap(header).order(ByteOrder.LITTLE_ENDIAN).getInt()));
-                byte[] bytes = response.getBytes(StandardCharsets.UTF_8);
-                socket.getOutputStream()
-                        .write(
-                                ByteBuffer.allocate(Integer.BYTES + bytes.length)
-                                        .order(ByteOrder.LITTLE_ENDIAN)
-                                        .putInt(bytes.length)
-                                        .put(bytes)
-                                        .array());
+                received.write(connection.readFrame());
+                connection.writeText(response);
             }
         }
         return received.toByteArray();
--- a/src/test/java/postbeam/layoutservice/LateCommandTest.java
+++ b/src/test/java/postbeam/layoutservice/LateCommandTest.java
@@ -3,15 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import java.io.Closeable;
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.ByteBuffer;
-import java.nio.ByteOrder;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -30,41 +24,6 @@
     private static final KeyRange KEYS = new KeyRange(0, 100);
     private static final int WAIT_SECONDS = 10;
 
-    /** A node's side of a connection. */
-    private static final class NodeConnection implements Closeable {
-        private final Socket socket;
-
-        NodeConnection(ServerSocket server) throws IOException {
-            socket = server.accept();
-        }
-
-        String readCommand() throws IOException {
-            DataInputStream in = new DataInputStream(socket.getInputStream());
-            byte[] frame = in.readNBytes(Integer.reverseBytes(in.readInt()));
-            return new String(frame, StandardCharsets.UTF_8);
-        }
-
-        void respond(String response) throws IOException {
-            byte[] bytes = response.getBytes(StandardCharsets.UTF_8);
-            socket.getOutputStream()
-                    .write(
-                            ByteBuffer.allocate(Integer.BYTES + bytes.length)
-                                    .order(ByteOrder.LITTLE_ENDIAN)
-                                    .putInt(bytes.length)
-                                    .put(bytes)
-                                    .array());
-        }
-
-        void end() throws IOException {
-            socket.shutdownOutput();
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
     private final BlockingQueue<String> done = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> late = new LinkedBlockingQueue<>();
     private final HandoffClient client =
@@ -92,19 +51,19 @@
     @Test
     void lateResponseToGivenUpCommandIsReported() throws Exception {
         send(HandoffCommand.FENCE);
-        try (NodeConnection first = new NodeConnection(server)) {
-            assertEquals("sFENCE 1 3 0 100 12 -", first.readCommand());
+        try (FrameSocket first = FrameSocket.accept(server)) {
+            assertEquals("sFENCE 1 3 0 100 12 -", first.readText());
             send(HandoffCommand.SERVE);
-            try (NodeConnection second = new NodeConnection(server)) {
-                assertEquals("sSERVE 1 3 0 100 12 -", second.readCommand());
-                second.respond("sSERVE 1 3 done");
+            try (FrameSocket second = FrameSocket.accept(server)) {
+                assertEquals("sSERVE 1 3 0 100 12 -", second.readText());
+                second.writeText("sSERVE 1 3 done");
                 assertEquals("SERVE 3", done.poll(WAIT_SECONDS, TimeUnit.SECONDS));
                 assertNull(late.poll(1, TimeUnit.SECONDS));
-                first.respond("sFENCE 1 3 done");
+                first.writeText("sFENCE 1 3 done");
                 assertEquals("n1", late.poll(WAIT_SECONDS, TimeUnit.SECONDS));
                 assertNull(done.poll());
                 send(HandoffCommand.SERVE);
-                assertEquals("sSERVE 1 3 0 100 12 -", second.readCommand());
+                assertEquals("sSERVE 1 3 0 100 12 -", second.readText());
             }
         }
     }
@@ -112,13 +71,13 @@
     @Test
     void endOfOverdueConnectionIsNotReported() throws Exception {
         send(HandoffCommand.FENCE);
-        try (NodeConnection first = new NodeConnection(server)) {
-            first.readCommand();
+        try (FrameSocket first = FrameSocket.accept(server)) {
+            first.readText();
             send(HandoffCommand.SERVE);
-            try (NodeConnection second = new NodeConnection(server)) {
-                second.readCommand();
-                first.end();
-                second.respond("sSERVE 1 3 done");
+            try (FrameSocket second = FrameSocket.accept(server)) {
+                second.readText();
+                first.endOutput();
+                second.writeText("sSERVE 1 3 done");
                 assertNull(late.poll(2, TimeUnit.SECONDS));
             }
         }
--- a/src/test/java/postbeam/router/RouterIT.java
+++ b/src/test/java/postbeam/router/RouterIT.java
@@ -1224,17 +1224,22 @@
             suspendProgram();
             Thread.sleep(6000);
             discovery.tell(node.hostEntry("n1", "draining"));
-            try (Socket client = connect()) {
-                write(client, query("hold", "resumed" + i, 3000, 0));
-                sendSignal("CONT");
-                assertEquals("503", readResponse(client).substring(0, 3));
-            }
-            assertFalse(
-                    node.frames.stream().anyMatch(frame -> frame.startsWith("m resumed")),
-                    node.frames.toString());
+            assertQueryIsRejectedOnResume("resumed" + i);
         }
     }
 
+    /** Resumes the program while a query is pending whose only node has begun to drain. */
+    private void assertQueryIsRejectedOnResume(String queryId) throws Exception {
+        try (Socket client = connect()) {
+            write(client, query("hold", queryId, 3000, 0));
+            sendSignal("CONT");
+            assertEquals("503", readResponse(client).substring(0, 3));
+        }
+        assertFalse(
+                node.frames.stream().anyMatch(frame -> frame.startsWith("m " + queryId)),
+                node.frames.toString());
+    }
+
     /**
      * The response to a poll sent before the suspension ended the wait for a recent list: it stood
      * in the socket's buffer, with the list of that time.
@@ -1247,14 +1252,7 @@
         Thread.sleep(6000);
         discovery.tell(node.hostEntry("n1", "draining"));
         discovery.delayResponses(Duration.ofMillis(150));
-        try (Socket client = connect()) {
-            write(client, query("hold", "resumed", 3000, 0));
-            sendSignal("CONT");
-            assertEquals("503", readResponse(client).substring(0, 3));
-        }
-        assertFalse(
-                node.frames.stream().anyMatch(frame -> frame.startsWith("m resumed")),
-                node.frames.toString());
+        assertQueryIsRejectedOnResume("resumed");
     }
 
     /** A router that resumes beside an unchanged list need not wait for a change of it. */
--- a/src/test/java/postbeam/testbed/fakes/FakeSliceStoreTest.java
+++ b/src/test/java/postbeam/testbed/fakes/FakeSliceStoreTest.java
@@ -17,7 +17,7 @@
     private final FakeSliceStore store = new FakeSliceStore();
 
     private boolean order(HandoffCommand command, long term, long number) {
-        return store.ordered(command, SLICE, KEYS, VERSION, new OrderNumber(term, number), false);
+        return store.execute(command, SLICE, KEYS, VERSION, new OrderNumber(term, number), false);
     }
 
     private FakeSliceStore.HeldSlice accepted() {
