Discovery server: pauses after rejected lists keep their jitter

What was at stake: after some rejected lists all routers of a fleet paused for the same 1.2 s and polled the discovery server in step.

Cause: the growing pause for rejected lists replaced the jittered backoff once it was longer. At a discovery server that backoff grows by itself.

Evidence: PollScheduleTest#pausesAfterRejectedListsAreJitteredAtADiscoveryServer failed before (100 pauses, all of 1.2 s) and passes.

--- a/src/main/java/postbeam/endpoints/PollTimings.java
+++ b/src/main/java/postbeam/endpoints/PollTimings.java
@@ -241,7 +241,9 @@
      */
     public Duration pauseAfterFailure(int failures, int rejections) {
         Duration pause = backoff.apply(failures);
-        if (rejections == 0) {
+        // A backoff that grows by itself keeps its jitter, so that routers do not poll in step.
+        boolean backoffGrows = maxBackoff.compareTo(AGENT_BACKOFF) > 0;
+        if (rejections == 0 || backoffGrows) {
             return pause;
         }
         int exponent = Math.min(rejections - 1, MAX_BACKOFF_EXPONENT);
--- a/src/test/java/postbeam/endpoints/PollScheduleTest.java
+++ b/src/test/java/postbeam/endpoints/PollScheduleTest.java
@@ -7,7 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class PollScheduleTest {
@@ -130,6 +133,20 @@
                         * (timings.maxBackoff().toMillis() + timings.responseTimeout().toMillis());
     }
 
+    /** All routers paused for the same 1.2 s after rejected lists, and then polled in step. */
+    @Test
+    void pausesAfterRejectedListsAreJitteredAtADiscoveryServer() {
+        Random random = new Random(1);
+        PollTimings timings = PollTimings.discoveryServer(Duration.ofSeconds(10), random);
+        Set<Duration> pauses = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            pauses.add(timings.pauseAfterFailure(20, 20));
+        }
+        assertTrue(pauses.size() > 50, pauses.toString());
+        assertTrue(Collections.max(pauses).compareTo(timings.maxBackoff()) <= 0);
+        assertEquals(ms(1_200), PollTimings.LOCAL_AGENT.pauseAfterFailure(20, 20));
+    }
+
     @Test
     void pollCycleIsWithinThePropagationDelayForAllTimings() {
         int checkedTimings = 0;
