Discovery: a rejection names an unchecked exception

What operators saw: "the endpoint list is not followed: null" on /healthz where a list was rejected for an exception without a message.

Cause: only the message was passed on. Evidence: LongPollWatcherTest#rejectionForUncheckedExceptionNamesItsType failed before.

--- a/src/main/java/postbeam/discovery/LongPollWatcher.java
+++ b/src/main/java/postbeam/discovery/LongPollWatcher.java
@@ -344,12 +344,19 @@
         abandon(pendingPolls.onFailure(poll, kind, now()));
         log.onFailure(failure, kind == PollPlan.Failure.REJECTED);
         if (kind == PollPlan.Failure.REJECTED) {
-            pollListener.onRejectedResponse(String.valueOf(failure.getMessage()));
+            pollListener.onRejectedResponse(reason(failure));
         } else {
             pollListener.onNoResponse();
         }
     }
 
+    /** An unchecked exception may have no message, or one that needs its type to be understood. */
+    private static String reason(Throwable failure) {
+        return failure instanceof IOException && failure.getMessage() != null
+                ? failure.getMessage()
+                : failure.toString();
+    }
+
     private static PollPlan.Failure classify(Throwable failure) {
         if (failure instanceof ConnectException) {
             return PollPlan.Failure.CONNECTION_REFUSED;
--- a/src/test/java/postbeam/discovery/LongPollWatcherTest.java
+++ b/src/test/java/postbeam/discovery/LongPollWatcherTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -410,6 +411,51 @@
                 """);
     }
 
+    /** The health page said "null" of a rejection for an exception without a message. */
+    @Test
+    void rejectionForUncheckedExceptionNamesItsType() throws Exception {
+        responder = (path, out) -> respond(out, "{\"seq\":41,\"whole\":true,\"hosts\":[]}");
+        assertEquals(
+                "java.lang.IllegalStateException",
+                firstRejection(
+                        update -> {
+                            throw new IllegalStateException();
+                        }));
+    }
+
+    /**
+     * Returns the reason of the first rejection by a watcher of the endpoint list.
+     *
+     * @param onUpdate receives the updates, and may throw
+     */
+    private String firstRejection(Consumer<EndpointUpdate> onUpdate) throws InterruptedException {
+        BlockingQueue<String> rejections = new LinkedBlockingQueue<>();
+        PollListener listener =
+                new PollListener() {
+                    @Override
+                    public void onResponse() {}
+
+                    @Override
+                    public void onNoResponse() {}
+
+                    @Override
+                    public void onRejectedResponse(String reason) {
+                        rejections.add(reason);
+                    }
+                };
+        LongPollWatcher<EndpointUpdate> listWatcher =
+                EndpointListWatch.create(
+                        "127.0.0.1:" + server.getLocalPort(),
+                        9,
+                        onUpdate,
+                        PollTimings.LOCAL_AGENT,
+                        listener);
+        startDaemonThread(listWatcher::run);
+        String reason = rejections.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        listWatcher.stop();
+        return reason;
+    }
+
     /**
      * Asserts that the watcher delivers all entries of an indented list.
      *
