Discovery: the number of entries of a list is bounded

What was at stake: a list within its limit of 4 MB could have over 100,000 short entries, which take far more memory decoded than as text.

Change: a list of more than 6,400 entries (each node of the largest fleet, and a draining one beside it) is rejected with that number while it is decoded.

Evidence: LongPollWatcherTest#listWithMoreEntriesThanTheLargestFleetIsRejected failed before; the lists of the largest fleet are decoded as before.

--- a/src/main/java/postbeam/discovery/EndpointListCodec.java
+++ b/src/main/java/postbeam/discovery/EndpointListCodec.java
@@ -35,10 +35,13 @@
      *
      * @param body the response body, which is closed
      * @param cells number of cells; endpoints name them from 0
-     * @throws IOException if a member is missing or invalid; the message names the member
+     * @param maxEndpoints limit for the number of entries, which take more memory decoded than as
+     *     text
+     * @throws IOException if there are more entries, or a member is missing or invalid; the message
+     *     names the limit or the member
      */
-    static EndpointUpdate decode(InputStream body, int cells) throws IOException {
-        Endpoints endpoints = new Endpoints(cells);
+    static EndpointUpdate decode(InputStream body, int cells, int maxEndpoints) throws IOException {
+        Endpoints endpoints = new Endpoints(cells, maxEndpoints);
         Map<String, Object> list = Json.parseObject(body, HOSTS, endpoints::add);
         // Fails if the member is missing or not a list; the elements were decoded above.
         Json.member(list, HOSTS, List.class);
@@ -53,7 +56,7 @@
      * @throws IOException if a member is missing or invalid; the message names the member
      */
     public static EndpointUpdate decode(Map<String, Object> list, int cells) throws IOException {
-        Endpoints endpoints = new Endpoints(cells);
+        Endpoints endpoints = new Endpoints(cells, Integer.MAX_VALUE);
         for (Object host : Json.member(list, HOSTS, List.class)) {
             endpoints.add(host);
         }
@@ -63,14 +66,20 @@
     /** The endpoints that were decoded so far. */
     private static final class Endpoints {
         private final int cells;
+        private final int maxEndpoints;
         private final List<Endpoint> endpoints = new ArrayList<>();
         private final Map<String, String> addresses = new LinkedHashMap<>();
 
-        Endpoints(int cells) {
+        Endpoints(int cells, int maxEndpoints) {
             this.cells = cells;
+            this.maxEndpoints = maxEndpoints;
         }
 
         void add(Object host) throws IOException {
+            if (endpoints.size() >= maxEndpoints) {
+                throw new MalformedJsonException(
+                        "hosts has more than " + maxEndpoints + " entries");
+            }
             if (!(host instanceof Map<?, ?> members)) {
                 throw new MalformedJsonException(
                         "hosts must contain only objects, but element "
--- a/src/main/java/postbeam/discovery/EndpointListWatch.java
+++ b/src/main/java/postbeam/discovery/EndpointListWatch.java
@@ -44,7 +44,7 @@
             PollListener pollListener) {
         return new LongPollWatcher<>(
                 new LongPollWatcher.Source("discovery", address, PATH, MAX_LIST_BYTES),
-                body -> EndpointListCodec.decode(body, cells),
+                body -> EndpointListCodec.decode(body, cells, MAX_ENDPOINTS),
                 EndpointUpdate::version,
                 onUpdate,
                 timings,
--- a/src/test/java/postbeam/discovery/LongPollWatcherTest.java
+++ b/src/test/java/postbeam/discovery/LongPollWatcherTest.java
@@ -411,6 +411,20 @@
                 """);
     }
 
+    /** Short entries of a list within its limit in bytes would use up the heap. */
+    @Test
+    void listWithMoreEntriesThanTheLargestFleetIsRejected() throws Exception {
+        String entry = "{\"host\":\"%d\",\"health\":\"removed\"}";
+        String list =
+                "{\"seq\":41,\"whole\":true,\"hosts\":["
+                        + IntStream.range(0, 6_401)
+                                .mapToObj(entry::formatted)
+                                .collect(Collectors.joining(","))
+                        + "]}";
+        responder = (path, out) -> respond(out, list);
+        assertEquals("hosts has more than 6400 entries", firstRejection(update -> {}));
+    }
+
     /** The health page said "null" of a rejection for an exception without a message. */
     @Test
     void rejectionForUncheckedExceptionNamesItsType() throws Exception {
