Tests: the programs of LayoutServiceIT listen on addresses of their own

What was seen: routerFollowsTheLayoutAndRejectsQueriesItCannotRoute failed in one of 15 repetitions beside other tests (a condition did not hold within 20 s, after 64 s). The failed run's files were not kept.

Cause: the test looks for a free port on 127.0.0.1 and starts a program that listens there seconds later; another process may take the port meanwhile. The run began while another test started its listeners, and ended in the second in which that test ended, so a health check waited on a connection to it.

Evidence: with a process that takes the router's port right after the configuration is written, and never answers, the test fails with the same message once that process is gone, and the router's log says that the address is in use. 45 further repetitions without it, beside load, passed. With addresses of their own the whole class passes beside such a process (1 of 1).

--- a/src/main/java/postbeam/testbed/fakes/LoopbackAddresses.java
+++ b/src/main/java/postbeam/testbed/fakes/LoopbackAddresses.java
@@ -5,10 +5,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Loopback addresses for stand-ins, each for one process alone. On a shared address another test
- * run that still connects to a port it has given up would reach the stand-in that got it next.
+ * Loopback addresses for listeners of tests, each for one process alone. On a shared address
+ * another test run that still connects to a port it has given up would reach the stand-in that got
+ * it next.
  */
-final class LoopbackAddresses {
+public final class LoopbackAddresses {
     private static final int LOOPBACK_NETWORK = 127;
     private static final int HOSTS = 253;
     private static final AtomicInteger NEXT_HOST = new AtomicInteger();
@@ -16,7 +17,7 @@
     private LoopbackAddresses() {}
 
     /** An address of this process: its network is made of the process id, 127.0 left out. */
-    static InetAddress next() {
+    public static InetAddress next() {
         int process = (int) ProcessHandle.current().pid();
         byte[] address = {
             LOOPBACK_NETWORK,
--- a/src/test/java/postbeam/layoutservice/LayoutServiceIT.java
+++ b/src/test/java/postbeam/layoutservice/LayoutServiceIT.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.Proxy;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -28,6 +29,7 @@
 import postbeam.testbed.cluster.LoopbackCluster;
 import postbeam.testbed.fakes.FakeDataNode;
 import postbeam.testbed.fakes.FakeDiscovery;
+import postbeam.testbed.fakes.LoopbackAddresses;
 import postbeam.testbed.verification.InvariantChecker;
 
 /**
@@ -59,11 +61,7 @@
             nodes.add(node);
             discovery.tell(node, "up", 0);
         }
-        String listen;
-        try (var portFinder =
-                new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
-            listen = "127.0.0.1:" + portFinder.getLocalPort();
-        }
+        String listen = findFreeAddress();
         String file =
                 Files.readString(Path.of("deploy/postbeam.json5"))
                         .replace("enabled: false", "enabled: true")
@@ -89,6 +87,16 @@
         nodes.forEach(FakeDataNode::close);
     }
 
+    /**
+     * Returns HOST:PORT for a listener. The host is used by this process alone: on a shared one
+     * another process could take the port before the program under test listens.
+     */
+    private static String findFreeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, LoopbackAddresses.next())) {
+            return free.getInetAddress().getHostAddress() + ":" + free.getLocalPort();
+        }
+    }
+
     private static List<String> javaCommand(String... arguments) {
         List<String> command = new ArrayList<>(List.of("java", "-jar", "target/postbeam.jar"));
         command.addAll(List.of(arguments));
@@ -168,11 +176,7 @@
     void routerFollowsTheLayoutAndRejectsQueriesItCannotRoute() throws Exception {
         serve();
         awaitCondition(() -> layouts("verify").startsWith("0 sound"));
-        String listen;
-        try (var portFinder =
-                new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
-            listen = "127.0.0.1:" + portFinder.getLocalPort();
-        }
+        String listen = findFreeAddress();
         String config =
                 Files.writeString(
                                 dir.resolve("config.json"),
